--- /dev/null
+++ b/crates/anvillift-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in upstreams, load tool, experiments and benchmarks.
--- /dev/null
+++ b/crates/anvillift-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, load tool and experiments of anvillift.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvillift-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration state machine: profiles, changes, orders to upstreams.
--- /dev/null
+++ b/crates/anvillift-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The anvillift daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers, upstreams and operators; wires the parts together.
--- /dev/null
+++ b/crates/anvillift-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most once: reservations and outcomes of commands.
--- /dev/null
+++ b/crates/anvillift-mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between hosts: WebSocket and CBOR, streams with credits.
--- /dev/null
+++ b/crates/anvillift-replication/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs consensus replicas: their timers, storage and messages.
--- /dev/null
+++ b/crates/anvillift-routing/src/load_view.rs
@@ -0,0 +1,65 @@
+//! The load that decisions rest on.
+
+use anvillift_schema::name::Name;
+use anvillift_schema::upstream::UpstreamLoad;
+
+/// Load of the own data centre and of the others, at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct LoadView {
+    /// Own region.
+    pub region: Name,
+    /// Own data centre.
+    pub data_centre: Name,
+    /// Upstreams of the own data centre that may get work for the service.
+    pub upstreams: Vec<UpstreamRoom>,
+    /// Other data centres allowed by placement, with room for the service.
+    pub data_centres: Vec<DataCentreRoom>,
+}
+
+/// Room at one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamRoom {
+    /// Upstream.
+    pub upstream: Name,
+    /// Models it has loaded.
+    pub models: Vec<Name>,
+    /// Last reported load.
+    pub load: UpstreamLoad,
+    /// Age of the report, in milliseconds.
+    pub load_age_ms: u64,
+    /// Tokens this host and its peers sent since the report.
+    pub sent_tokens: u64,
+    /// Requests this host has in flight there.
+    pub own_in_flight: u32,
+    /// Time since the upstream was first seen, in milliseconds.
+    pub known_ms: u64,
+}
+
+/// Room at another data centre.
+#[derive(Clone, Debug, Default)]
+pub struct DataCentreRoom {
+    /// Data centre.
+    pub data_centre: Name,
+    /// Its region.
+    pub region: Name,
+    /// Hosts there that are alive and ready.
+    pub hosts: Vec<Name>,
+    /// Age of the news, in milliseconds.
+    pub age_ms: u64,
+    /// Round trip to it, in milliseconds.
+    pub round_trip_ms: u64,
+    /// Rate of the link to it, in bytes a second; 0 is unknown.
+    pub link_bytes_per_s: u64,
+    /// Upstreams alive.
+    pub upstreams: u32,
+    /// Requests running.
+    pub running_requests: u32,
+    /// Batch slots free.
+    pub free_slots: u32,
+    /// Prompt tokens waiting.
+    pub queued_tokens: u64,
+    /// Prompt tokens computed a second.
+    pub prefill_rate_tokens_per_s: u64,
+    /// Tokens this host sent there since the news.
+    pub sent_tokens: u64,
+}
--- /dev/null
+++ b/crates/anvillift-schema/src/event.rs
@@ -0,0 +1,70 @@
+//! Numbered log events.
+//!
+//! A log line carries the number of its event as the `event` key;
+//! `docs/EVENTS.md` is the catalogue, compared with this list by a test. Log
+//! with `log::info!(event = Event::HostStarted.number(); "...")`.
+
+macro_rules! events {
+    ($($variant:ident = $number:literal, $level:literal, $meaning:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+        #[repr(u16)]
+        pub enum Event {
+            $(#[doc = $meaning] $variant = $number,)*
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Level at which the event is logged.
+            pub fn level(self) -> &'static str {
+                match self { $(Self::$variant => $level,)* }
+            }
+
+            /// What the event means.
+            pub fn meaning(self) -> &'static str {
+                match self { $(Self::$variant => $meaning,)* }
+            }
+        }
+    };
+}
+
+events! {
+    HostStarted = 2001, "info", "The host started and listens";
+    HostDraining = 2002, "info", "The host began a planned stop";
+    HostStopped = 2003, "info", "The host stopped with nothing in flight";
+    HostReady = 2004, "info", "The host has a configuration and takes requests";
+    SettingsRefused = 2005, "error", "The settings are not valid";
+    LinkUp = 2101, "info", "A link to another host is up";
+    LinkDown = 2102, "warn", "A link to another host is down";
+    LinkRefused = 2103, "warn", "A link was refused because its proof or name is wrong";
+    HostSilent = 2201, "warn", "A host has fallen silent";
+    HostReturned = 2202, "info", "A silent host is heard again";
+    UpstreamFound = 2301, "info", "An upstream announced itself";
+    UpstreamLeft = 2302, "info", "An upstream left";
+    UpstreamExpired = 2303, "warn", "An upstream has not been heard and is dropped";
+    LeaderElected = 2401, "info", "The replica became leader of its group";
+    LeaderLost = 2402, "info", "The replica is no longer leader of its group";
+    SnapshotTaken = 2403, "info", "A snapshot was taken and the log truncated";
+    SnapshotInstalled = 2404, "info", "A snapshot was installed";
+    StorageFailed = 2405, "error", "The data folder failed and the replica steps down";
+    StorageRepaired = 2406, "warn", "A torn or damaged part of the log was cut";
+    ChangeAccepted = 2501, "info", "A change of the configuration was accepted";
+    ConfigurationApplied = 2502, "info", "A configuration revision is applied on this host";
+    OrderSent = 2503, "info", "An order was sent to an upstream";
+    OrderFenced = 2504, "warn", "An order with an old fencing number was stopped";
+    CommandUnknown = 2601, "warn", "The outcome of a command is not known";
+    LedgerUnavailable = 2602, "warn", "A ledger group has no majority";
+    RequestRefused = 2701, "debug", "A request was refused";
+    RequestServed = 2702, "debug", "A request was served";
+    UpstreamBroke = 2703, "warn", "An upstream broke off an answer";
+    LoopDetected = 2704, "warn", "A request came back to a host that had handled it";
+}
+
+impl Event {
+    /// The number of the event.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+}
--- /dev/null
+++ b/crates/anvillift-schema/src/lib.rs
@@ -0,0 +1,16 @@
+//! Messages and settings of anvillift, generated from the schemas in `schema/`,
+//! with the result codes and log events that they refer to.
+//!
+//! Start at the modules re-exported from [`generated`]: each holds the types of
+//! one schema file.
+
+pub mod code;
+mod defaults;
+pub mod event;
+pub mod generated;
+pub mod name;
+pub mod payload;
+
+pub use generated::{
+    configuration, consensus, ledger, link, membership, public, settings, upstream,
+};
--- /dev/null
+++ b/crates/anvillift-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reads and checks INI settings and change files.
--- /dev/null
+++ b/crates/anvillift-storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data folder: checksummed log, snapshots and identity.
--- /dev/null
+++ b/crates/anvillift-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs, metrics and service-level burn.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line tool of anvillift.
+
+fn main() {}
