Spread membership by deltas and delegates within a byte budget

Cause: the first membership sent whole records to every host, had no delegates and took any message as fresh, so it neither scaled nor told dead from alive. Ruled out: gossip with random peers (relayed heartbeats revive the dead unless every record carries a counter, and more bytes for the same 3 s); a hub a data centre (its bytes grow with the square of the hosts).

--- /dev/null
+++ b/crates/anvillift-membership/examples/scale.rs
@@ -0,0 +1,57 @@
+//! Bytes and processor time of membership by size, in virtual time.
+//!
+//! `cargo run --release -p anvillift-membership --example scale`
+
+#![allow(clippy::print_stdout, missing_docs, unreachable_pub)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Instant;
+
+use support::{Faults, Network, Size};
+
+const WARM_UP_MS: u64 = 10_000;
+const MEASURED_MS: u64 = 20_000;
+
+fn main() {
+    println!(
+        "hosts centres upstreams  sent B/s mean  max   received B/s mean  max   us a daemon and s  % core"
+    );
+    let sizes = [(8, 3, 3, 33), (24, 4, 3, 114), (72, 8, 5, 341), (380, 28, 10, 1800)];
+    for (hosts, centres, regions, upstreams) in sizes {
+        let size = Size { hosts, centres, regions, upstreams, services: 6 };
+        measure(size);
+    }
+}
+
+fn measure(size: Size) {
+    let faults = Faults { near_delay_ms: 2, far_delay_ms: 40, ..Faults::default() };
+    let mut network = Network::new(size, faults, 1);
+    network.run(WARM_UP_MS);
+    network.count_bytes = true;
+    network.run(MEASURED_MS);
+    network.count_bytes = false;
+    let started = Instant::now();
+    network.run(MEASURED_MS);
+    let busy_us = started.elapsed().as_micros() as u64;
+    let seconds = MEASURED_MS / 1000;
+    let sent: Vec<u64> = network.hosts.values().map(|host| host.sent_bytes / seconds).collect();
+    let received = network.hosts.values().map(|host| host.received_bytes / seconds);
+    let received: Vec<u64> = received.collect();
+    let mean = |values: &[u64]| values.iter().sum::<u64>() / values.len() as u64;
+    let max = |values: &[u64]| values.iter().max().copied().unwrap_or(0);
+    let daemon_us = busy_us / seconds / size.hosts as u64;
+    println!(
+        "{:5} {:7} {:9}  {:13} {:5}  {:17} {:5}  {:17}  {:.3}",
+        size.hosts,
+        size.centres,
+        size.upstreams,
+        mean(&sent),
+        max(&sent),
+        mean(&received),
+        max(&received),
+        daemon_us,
+        daemon_us as f64 / 10_000.0,
+    );
+}
--- a/crates/anvillift-membership/src/members.rs
+++ b/crates/anvillift-membership/src/members.rs
@@ -1,37 +1,26 @@
 //! The membership state of one host.
+//!
+//! [`Members::tick`] sends heartbeats to the own data centre and, where the own
+//! host is a delegate, digests to the others; [`Members::receive`] takes both.
 
-use std::collections::BTreeMap;
+mod far;
+mod near;
 
-use anvillift_schema::membership::{
-    DataCentreSummary, Heartbeat, HostRecord, HostState, MembershipMessage, ServiceSummary,
-    SummaryExchange, UpstreamRecord,
-};
+use std::collections::{BTreeMap, BTreeSet};
+
+use anvillift_schema::membership::{HostRecord, HostState, MembershipMessage};
 use anvillift_schema::name::Name;
-use anvillift_schema::settings::{Identity, PeerSettings};
 use anvillift_schema::upstream::Announcement;
 
-use crate::view::{DataCentreView, HostView, UpstreamView, View};
+use crate::neighbours::Neighbours;
+use crate::remotes::Remotes;
+use crate::roster;
+pub use crate::settings::MembersSettings;
+use crate::upstreams::{HeardCacheEvent, REPEATED_BEATS, Upstreams};
+use crate::view::{HostView, View};
 
-/// Settings of [`Members`].
-#[derive(Clone, Debug, Default)]
-pub struct MembersSettings {
-    /// The own host.
-    pub identity: Identity,
-    /// All hosts of the system by name.
-    pub peers: BTreeMap<Name, PeerSettings>,
-    /// Base URL told to callers.
-    pub caller_url: String,
-    /// Start of the process; grows with every start.
-    pub incarnation: u64,
-    /// Id of the data folder, if there is one.
-    pub storage_id: Option<String>,
-    /// Between heartbeats, in milliseconds.
-    pub heartbeat_ms: u64,
-    /// A host is silent after this time, in milliseconds.
-    pub silent_after_ms: u64,
-    /// An upstream is dropped after this time, in milliseconds.
-    pub upstream_expiry_ms: u64,
-}
+/// What a host may send for membership, in bytes a second.
+pub const BUDGET_BYTES_PER_S: u64 = 4096;
 
 /// A message to another host.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,27 +31,31 @@
     pub message: MembershipMessage,
 }
 
-#[derive(Clone, Debug)]
-struct Heard<T> {
-    value: T,
-    heard_ms: u64,
-}
-
 /// Hosts, upstreams and data centres known to one host.
 #[derive(Debug)]
 pub struct Members {
     settings: MembersSettings,
     own: HostRecord,
-    hosts: BTreeMap<Name, Heard<HostRecord>>,
-    upstreams: BTreeMap<Name, Heard<Announcement>>,
-    summaries: BTreeMap<Name, Heard<DataCentreSummary>>,
-    next_tick_ms: u64,
+    version: u64,
+    record_repeats: u32,
+    near: Vec<Name>,
+    far: BTreeMap<Name, Vec<Name>>,
+    neighbours: Neighbours,
+    upstreams: Upstreams,
+    remotes: Remotes,
+    next_beat_ms: u64,
+    beat_number: u64,
+    next_summary_ms: u64,
     sequence: u64,
+    told_checksum: Option<u32>,
+    told_rosters: BTreeMap<Name, u32>,
+    /// Data centres that the own host told of the last roster as a delegate.
+    spoken_to: BTreeSet<Name>,
 }
 
 impl Members {
-    /// Members that know only the own host. `_seed` starts the random choices.
-    pub fn new(settings: MembersSettings, _seed: u64) -> Self {
+    /// Members that know only the own host; `seed` spreads the first heartbeats in time.
+    pub fn new(settings: MembersSettings, seed: u64) -> Self {
         let own = HostRecord {
             host: settings.identity.name.clone(),
             region: settings.identity.region.clone(),
@@ -76,85 +69,86 @@
             storage_id: settings.storage_id.clone(),
         };
         Self {
-            settings,
             own,
-            hosts: BTreeMap::new(),
-            upstreams: BTreeMap::new(),
-            summaries: BTreeMap::new(),
-            next_tick_ms: 0,
-            sequence: 0,
+            version: 1,
+            record_repeats: REPEATED_BEATS,
+            near: settings.near(),
+            far: settings.far(),
+            neighbours: Neighbours::new(settings.silent_after_ms),
+            upstreams: Upstreams::new(settings.upstream_expiry_ms),
+            remotes: Remotes::new(
+                settings.digest_limit_ms(),
+                settings.summary_ms(settings.far().len()),
+            ),
+            next_beat_ms: 0,
+            beat_number: 0,
+            next_summary_ms: 0,
+            sequence: seed % 2,
+            told_checksum: None,
+            told_rosters: BTreeMap::new(),
+            spoken_to: BTreeSet::new(),
+            settings,
         }
     }
 
-    /// Sends what is due at `now_ms`.
+    /// Sends what is due at `now_ms`; to be called every 100 ms or sooner.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Outgoing> {
-        if now_ms < self.next_tick_ms {
-            return Vec::new();
+        let mut sent = Vec::new();
+        let beat_due = now_ms >= self.next_beat_ms;
+        if beat_due {
+            self.next_beat_ms = now_ms + self.settings.beat_ms(self.near.len() as u64);
+            self.beat_number += 1;
+            self.upstreams.prune(now_ms);
+            self.remotes.prune(now_ms);
         }
-        self.next_tick_ms = now_ms + self.settings.heartbeat_ms;
-        self.own.heartbeat += 1;
-        self.sequence += 1;
-        let near = MembershipMessage::Heartbeat(Heartbeat {
-            hosts: vec![self.own.clone()],
-            upstreams: self.upstream_records(now_ms),
-            reply: false,
-        });
-        let far =
-            MembershipMessage::Summary(SummaryExchange { summaries: vec![self.summary(now_ms)] });
-        let own_name = &self.own.host;
-        let others = self.settings.peers.iter().filter(|(name, _)| *name != own_name);
-        others
-            .map(|(name, peer)| {
-                let inside = peer.data_centre == self.own.data_centre;
-                Outgoing {
-                    to: name.clone(),
-                    message: if inside { near.clone() } else { far.clone() },
-                }
-            })
-            .collect()
+        if beat_due || self.has_urgent_news() {
+            sent.extend(self.beats(now_ms));
+        }
+        let roster = self.roster(now_ms);
+        let checksum = roster::checksum(&roster);
+        let changed = self.told_checksum != Some(checksum);
+        if changed || now_ms >= self.next_summary_ms {
+            self.next_summary_ms = now_ms + self.settings.summary_ms(self.far.len());
+            self.told_checksum = Some(checksum);
+            sent.extend(self.summaries(now_ms, &roster, checksum, changed));
+        }
+        sent
     }
 
     /// Takes a message from another host.
     pub fn receive(
         &mut self,
         now_ms: u64,
-        _from: &Name,
+        from: &Name,
         message: MembershipMessage,
     ) -> Vec<Outgoing> {
+        let Some(peer) = self.settings.peers.get(from) else { return Vec::new() };
+        let centre = peer.data_centre.clone();
+        let inside = centre == self.own.data_centre;
         match message {
-            MembershipMessage::Heartbeat(heartbeat) => {
-                for record in heartbeat.hosts {
-                    self.hosts
-                        .insert(record.host.clone(), Heard { value: record, heard_ms: now_ms });
-                }
-                for record in heartbeat.upstreams {
-                    let heard_ms = now_ms.saturating_sub(record.heard_age_ms);
-                    self.take_announcement(heard_ms, record.announcement);
-                }
+            MembershipMessage::Beat(beat) if inside => self.receive_beat(now_ms, from, beat),
+            MembershipMessage::Summary(summary) if !inside => {
+                self.receive_summary(now_ms, from, &centre, summary)
             }
-            MembershipMessage::Summary(exchange) => {
-                for summary in exchange.summaries {
-                    for record in &summary.hosts {
-                        let heard = Heard { value: record.clone(), heard_ms: now_ms };
-                        self.hosts.insert(record.host.clone(), heard);
-                    }
-                    let heard = Heard { value: summary, heard_ms: now_ms };
-                    self.summaries.insert(heard.value.data_centre.clone(), heard);
-                }
+            MembershipMessage::WantRoster(checksum) if !inside => {
+                self.answer_roster(now_ms, from, checksum)
             }
+            _ => Vec::new(),
         }
-        Vec::new()
     }
 
     /// Takes an announcement of an upstream; false if it is older than what is known.
     pub fn announce(&mut self, now_ms: u64, announcement: Announcement) -> bool {
-        self.take_announcement(now_ms, announcement)
+        self.upstreams.announce(now_ms, announcement)
     }
 
     /// Sets whether the own host takes requests.
     pub fn set_state(&mut self, state: HostState) {
-        self.own.state = state;
-        self.next_tick_ms = 0;
+        if self.own.state != state {
+            self.own.state = state;
+            self.version += 1;
+            self.record_repeats = REPEATED_BEATS;
+        }
     }
 
     /// Sets the configuration revision applied by the own host.
@@ -168,93 +162,24 @@
     }
 
     /// Adds tokens that the own host sent to an upstream.
-    pub fn add_sent_tokens(&mut self, _upstream: &Name, _tokens: u64) {}
-
-    /// What is known at `now_ms`.
-    pub fn view(&self, now_ms: u64) -> View {
-        let mut hosts: BTreeMap<Name, HostView> = self
-            .hosts
-            .iter()
-            .map(|(name, heard)| {
-                let heard_age_ms = now_ms.saturating_sub(heard.heard_ms);
-                let alive = heard_age_ms <= self.settings.silent_after_ms;
-                (name.clone(), HostView { record: heard.value.clone(), heard_age_ms, alive })
-            })
-            .collect();
-        let own = HostView { record: self.own.clone(), heard_age_ms: 0, alive: true };
-        hosts.insert(self.own.host.clone(), own);
-        let upstreams = self.available(now_ms).map(|(name, heard)| {
-            let view = UpstreamView {
-                announcement: heard.value.clone(),
-                heard_age_ms: now_ms.saturating_sub(heard.heard_ms),
-                peer_sent_tokens: 0,
-            };
-            (name.clone(), view)
-        });
-        let data_centres = self.summaries.iter().map(|(name, heard)| {
-            let age_ms = now_ms.saturating_sub(heard.heard_ms);
-            (name.clone(), DataCentreView { summary: heard.value.clone(), age_ms })
-        });
-        View { hosts, upstreams: upstreams.collect(), data_centres: data_centres.collect() }
-    }
-
-    fn available(&self, now_ms: u64) -> impl Iterator<Item = (&Name, &Heard<Announcement>)> {
-        self.upstreams.iter().filter(move |(_, heard)| {
-            let age_ms = now_ms.saturating_sub(heard.heard_ms);
-            !heard.value.leaving && age_ms <= self.settings.upstream_expiry_ms
-        })
+    pub fn add_sent_tokens(&mut self, upstream: &Name, tokens: u64) {
+        self.upstreams.add_sent_tokens(upstream, tokens);
     }
 
-    fn take_announcement(&mut self, heard_ms: u64, announcement: Announcement) -> bool {
-        let order = (announcement.incarnation, announcement.sequence);
-        let known = self.upstreams.get(&announcement.upstream);
-        if known.is_some_and(|known| order <= (known.value.incarnation, known.value.sequence)) {
-            return false;
-        }
-        let name = announcement.upstream.clone();
-        self.upstreams.insert(name, Heard { value: announcement, heard_ms });
-        true
+    /// Cache events heard since the last call, directly or from other hosts.
+    pub fn take_cache_events(&mut self) -> Vec<HeardCacheEvent> {
+        self.upstreams.take_cache_events()
     }
 
-    fn upstream_records(&self, now_ms: u64) -> Vec<UpstreamRecord> {
-        let record = |heard: &Heard<Announcement>| UpstreamRecord {
-            announcement: heard.value.clone(),
-            heard_age_ms: now_ms.saturating_sub(heard.heard_ms),
-            left: heard.value.leaving,
-            sent_tokens: 0,
-        };
-        self.upstreams.values().map(record).collect()
-    }
-
-    fn summary(&self, now_ms: u64) -> DataCentreSummary {
-        let mut services: BTreeMap<Name, ServiceSummary> = BTreeMap::new();
-        for (_, heard) in self.available(now_ms) {
-            let service = &heard.value.service;
-            let load = &heard.value.load;
-            let entry = services.entry(service.clone()).or_insert_with(|| ServiceSummary {
-                service: service.clone(),
-                upstreams: 0,
-                running_requests: 0,
-                queued_tokens: 0,
-                free_slots: 0,
-                token_rate_milli: 0,
-                prefill_rate_tokens_per_s: 0,
-            });
-            entry.upstreams += 1;
-            entry.running_requests += load.running_requests;
-            entry.queued_tokens += load.queued_tokens;
-            entry.free_slots += load.max_running_requests.saturating_sub(load.running_requests);
-            entry.token_rate_milli += load.token_rate_milli;
-            entry.prefill_rate_tokens_per_s += load.prefill_rate_tokens_per_s;
-        }
-        DataCentreSummary {
-            data_centre: self.own.data_centre.clone(),
-            region: self.own.region.clone(),
-            incarnation: self.own.incarnation,
-            sequence: self.sequence,
-            delegate: self.own.host.clone(),
-            hosts: vec![self.own.clone()],
-            services: services.into_values().collect(),
+    /// What is known at `now_ms`.
+    pub fn view(&self, now_ms: u64) -> View {
+        let own = HostView { record: self.own.clone(), heard_age_ms: 0, alive: true };
+        let others = self.remotes.host_views(now_ms).chain(self.neighbours.views(now_ms));
+        let hosts = others.chain([own]).map(|host| (host.record.host.clone(), host));
+        View {
+            hosts: hosts.collect(),
+            upstreams: self.upstreams.view(now_ms),
+            data_centres: self.remotes.views(now_ms),
         }
     }
 }
