--- a/crates/anvillift-routing/src/load_view.rs
+++ b/crates/anvillift-routing/src/load_view.rs
@@ -10,10 +10,20 @@
     pub region: Name,
     /// Own data centre.
     pub data_centre: Name,
-    /// Upstreams of the own data centre that may get work for the service.
+    /// Upstreams of the own data centre that may get work for the service, in
+    /// order of their names.
     pub upstreams: Vec<UpstreamRoom>,
     /// Other data centres allowed by placement, with room for the service.
     pub data_centres: Vec<DataCentreRoom>,
+    /// Whether requests were sent away lately.
+    pub spilling: bool,
+}
+
+impl LoadView {
+    /// Position of an upstream, the upstreams being in order of their names.
+    pub fn position(&self, upstream: &str) -> Option<usize> {
+        self.upstreams.binary_search_by(|room| room.upstream.as_str().cmp(upstream)).ok()
+    }
 }
 
 /// Room at one upstream.
@@ -58,6 +68,8 @@
     pub free_slots: u32,
     /// Prompt tokens waiting.
     pub queued_tokens: u64,
+    /// Tokens generated a second, in thousandths.
+    pub token_rate_milli: u64,
     /// Prompt tokens computed a second.
     pub prefill_rate_tokens_per_s: u64,
     /// Tokens this host sent there since the news.
--- a/crates/anvillift-routing/src/request.rs
+++ b/crates/anvillift-routing/src/request.rs
@@ -2,6 +2,8 @@
 
 use anvillift_schema::name::Name;
 
+use crate::prefix::CachedPrefix;
+
 /// Facts of one request.
 #[derive(Clone, Debug, Default)]
 pub struct RequestFacts {
@@ -19,6 +21,8 @@
     pub body_bytes: u64,
     /// Hashes of the prompt's prefix blocks, shortest prefix first.
     pub prefix_blocks: Vec<u64>,
+    /// Who has parts of the prompt cached, longest part first.
+    pub cached: Vec<CachedPrefix>,
     /// Priority under overload; higher is kept longer.
     pub priority: u32,
     /// Time left, in milliseconds.
--- /dev/null
+++ b/crates/anvillift-routing/tests/prefix.rs
@@ -0,0 +1,98 @@
+//! The index of prompt prefixes.
+
+use anvillift_routing::prefix::{self, PrefixIndex, PrefixIndexSettings};
+use anvillift_schema::name::Name;
+use anvillift_schema::upstream::CacheEvent;
+use proptest::prelude::*;
+
+fn event(sequence: u64, stored: &[u64], evicted: &[u64]) -> CacheEvent {
+    let hex = |blocks: &[u64]| blocks.iter().map(|block| format!("{block:016x}")).collect();
+    CacheEvent { sequence, stored: hex(stored), evicted: hex(evicted) }
+}
+
+fn holders(index: &PrefixIndex, blocks: &[u64]) -> Vec<(String, u64)> {
+    let found = index.lookup(blocks);
+    found.iter().map(|cached| (cached.holder.to_string(), cached.tokens)).collect()
+}
+
+#[test]
+fn prompts_with_a_common_start_share_blocks() {
+    let history = "soil ".repeat(1_000);
+    let one = prefix::blocks(&format!("{history}first question {}", "x".repeat(2_000)));
+    let other = prefix::blocks(&format!("{history}second question {}", "y".repeat(2_000)));
+    let shared = history.len() / prefix::BLOCK_BYTES;
+    assert_eq!(one[..shared], other[..shared]);
+    assert_ne!(one[shared..], other[shared..]);
+}
+
+#[test]
+fn the_longest_prefix_comes_first() {
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    index.sent(0, &Name::from("a"), &[1, 2]);
+    index.sent(0, &Name::from("b"), &[1, 2, 3, 4]);
+    let expected = vec![("b".to_owned(), 1_024), ("a".to_owned(), 512)];
+    assert_eq!(holders(&index, &[1, 2, 3, 4, 5]), expected);
+}
+
+#[test]
+fn an_evicted_block_is_not_held() {
+    let upstream = Name::from("a");
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    index.correct(0, &upstream, 1, &[event(1, &[1, 2], &[])]);
+    index.correct(0, &upstream, 1, &[event(2, &[], &[2])]);
+    assert_eq!(holders(&index, &[1, 2]), vec![("a".to_owned(), 256)]);
+}
+
+#[test]
+fn a_late_event_changes_nothing() {
+    let upstream = Name::from("a");
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    index.correct(0, &upstream, 1, &[event(1, &[1], &[]), event(2, &[], &[1])]);
+    index.correct(0, &upstream, 1, &[event(1, &[1], &[])]);
+    assert!(index.lookup(&[1]).is_empty());
+}
+
+#[test]
+fn a_gap_drops_what_was_not_used_lately() {
+    let upstream = Name::from("a");
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    index.correct(0, &upstream, 1, &[event(1, &[1], &[])]);
+    index.sent(60_000, &upstream, &[2]);
+    index.correct(61_000, &upstream, 1, &[event(9, &[], &[])]);
+    assert!(index.lookup(&[1]).is_empty());
+    assert_eq!(index.lookup(&[2]).len(), 1);
+}
+
+#[test]
+fn a_restarted_upstream_holds_nothing() {
+    let upstream = Name::from("a");
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    index.correct(0, &upstream, 1, &[event(1, &[1], &[])]);
+    index.correct(0, &upstream, 2, &[]);
+    assert!(index.lookup(&[1]).is_empty());
+}
+
+proptest! {
+    #[test]
+    fn the_index_stays_bounded_and_consistent(
+        operations in prop::collection::vec((0u8..4, 0u64..40, 0u8..5), 0..300),
+    ) {
+        let settings = PrefixIndexSettings { max_entries: 20, ..PrefixIndexSettings::default() };
+        let mut index = PrefixIndex::new(settings);
+        for (step, (operation, block, holder)) in operations.into_iter().enumerate() {
+            let now_ms = step as u64;
+            let holder = Name::from(format!("u{holder}"));
+            match operation {
+                0 => index.sent(now_ms, &holder, &[block, block + 1]),
+                1 => index.correct(now_ms, &holder, 1, &[event(now_ms, &[block], &[])]),
+                2 => index.correct(now_ms, &holder, 1, &[event(now_ms, &[], &[block])]),
+                _ => index.forget(&holder),
+            }
+            prop_assert!(index.len() <= 20);
+            if operation == 3 {
+                let found = index.lookup(&(0..42).collect::<Vec<_>>());
+                prop_assert!(found.iter().all(|cached| cached.holder != holder));
+            }
+        }
+    }
+}
