Read settings and change files from INI

Cause: A daemon and the operators' tool need typed settings from INI files, with every fault shown at once with file, section, key, line and what is allowed.

Ruled out: Reading INI through serde: it stops at the first fault and knows no lines. A parser of our own: rust-ini reads the values, and one scan of the text finds the lines.

Before: no settings reader.

Conclusion: The gateway can start from a file.

--- /dev/null
+++ b/crates/anvillift-settings/src/document.rs
@@ -0,0 +1,184 @@
+//! An INI text as sections with line numbers.
+//!
+//! `rust-ini` reads the values but keeps no lines, so [`Lines`] scans the text
+//! for the line of each section and key. Start at [`Document::parse`].
+
+use std::collections::BTreeMap;
+
+use anvillift_schema::name::Name;
+use ini::{Ini, ParseOption, Properties};
+
+use crate::fault::Fault;
+
+/// Longest section label and name, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// A value with its line.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    /// Text of the value.
+    pub(crate) value: String,
+    /// Line of the key.
+    pub(crate) line: usize,
+}
+
+/// One section, such as `[peer host-a]`.
+#[derive(Debug)]
+pub(crate) struct Section {
+    /// Title as it is written.
+    pub(crate) title: String,
+    /// First word of the title.
+    pub(crate) kind: String,
+    /// Rest of the title.
+    pub(crate) label: Option<Name>,
+    /// Line of the title.
+    pub(crate) line: usize,
+    /// Values by key.
+    pub(crate) entries: BTreeMap<String, Entry>,
+}
+
+/// All sections of a file.
+#[derive(Debug)]
+pub(crate) struct Document {
+    /// Name of the file in faults.
+    pub(crate) file: String,
+    /// Sections in the order of the file.
+    pub(crate) sections: Vec<Section>,
+}
+
+impl Document {
+    /// Reads the sections of a text; faults are added to `faults`.
+    pub(crate) fn parse(file: &str, text: &str, faults: &mut Vec<Fault>) -> Self {
+        let mut document = Self { file: file.to_owned(), sections: Vec::new() };
+        let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
+        match Ini::load_from_str_opt(text, options) {
+            Ok(ini) => document.add_sections(&ini, &Lines::scan(text), faults),
+            Err(error) => {
+                let message = format!("not INI: {}", error.msg);
+                faults.push(Fault { line: error.line.max(1), ..Fault::of_file(file, message) });
+            }
+        }
+        document
+    }
+
+    /// The section of a kind that may stand once.
+    pub(crate) fn section(&self, kind: &str) -> Option<&Section> {
+        self.sections.iter().find(|section| section.kind == kind)
+    }
+
+    fn add_sections(&mut self, ini: &Ini, lines: &Lines, faults: &mut Vec<Fault>) {
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        for (title, properties) in ini.iter() {
+            let Some(title) = title else {
+                self.check_untitled(properties, lines, faults);
+                continue;
+            };
+            let occurrence = seen.entry(title).or_insert(0);
+            let section = self.read_section(title, *occurrence, properties, lines, faults);
+            if *occurrence > 0 {
+                faults.push(self.fault(&section, "the section stands twice".to_owned()));
+            } else {
+                self.sections.push(section);
+            }
+            *occurrence += 1;
+        }
+    }
+
+    fn check_untitled(&self, properties: &Properties, lines: &Lines, faults: &mut Vec<Fault>) {
+        if let Some((key, _)) = properties.iter().next() {
+            let message = "stands before the first section".to_owned();
+            let line = lines.of_key("", 0, key, 0);
+            let key = key.to_owned();
+            faults.push(Fault { key, line, ..Fault::of_file(&self.file, message) });
+        }
+    }
+
+    fn read_section(
+        &self,
+        title: &str,
+        occurrence: usize,
+        properties: &Properties,
+        lines: &Lines,
+        faults: &mut Vec<Fault>,
+    ) -> Section {
+        let (kind, label) = match title.trim().split_once(char::is_whitespace) {
+            Some((kind, label)) => (kind, Some(label.trim())),
+            None => (title.trim(), None),
+        };
+        let mut section = Section {
+            title: title.to_owned(),
+            kind: kind.to_owned(),
+            label: label.map(Name::from),
+            line: lines.of_section(title, occurrence),
+            entries: BTreeMap::new(),
+        };
+        for (key, value) in properties.iter() {
+            let line = lines.of_key(title, occurrence, key, 0);
+            let entry = Entry { value: value.trim().to_owned(), line };
+            if section.entries.insert(key.to_owned(), entry).is_some() {
+                let line = lines.of_key(title, occurrence, key, 1);
+                let message = "the key stands twice in its section".to_owned();
+                let key = key.to_owned();
+                faults.push(Fault { key, line, ..self.fault(&section, message) });
+            }
+        }
+        section
+    }
+
+    /// A fault of a whole section.
+    pub(crate) fn fault(&self, section: &Section, message: String) -> Fault {
+        Fault {
+            section: section.title.clone(),
+            line: section.line,
+            ..Fault::of_file(&self.file, message)
+        }
+    }
+}
+
+/// Whether a text may be a name of a host, region, profile and the like.
+pub(crate) fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
+}
+
+/// Lines of sections and keys.
+#[derive(Debug, Default)]
+struct Lines {
+    sections: BTreeMap<String, Vec<usize>>,
+    keys: BTreeMap<(String, usize, String), Vec<usize>>,
+}
+
+impl Lines {
+    fn scan(text: &str) -> Self {
+        let mut lines = Self::default();
+        let mut title = String::new();
+        let mut occurrence = 0;
+        for (index, line) in text.lines().enumerate() {
+            let (line, number) = (line.trim(), index + 1);
+            if line.starts_with([';', '#']) {
+                continue;
+            }
+            if let Some(rest) = line.strip_prefix('[') {
+                title = rest.split(']').next().unwrap_or_default().to_owned();
+                let known = lines.sections.entry(title.clone()).or_default();
+                occurrence = known.len();
+                known.push(number);
+            } else if let Some((key, _)) = line.split_once(['=', ':']) {
+                let key = (title.clone(), occurrence, key.trim().to_owned());
+                lines.keys.entry(key).or_default().push(number);
+            }
+        }
+        lines
+    }
+
+    fn of_section(&self, title: &str, occurrence: usize) -> usize {
+        let lines = self.sections.get(title);
+        lines.and_then(|lines| lines.get(occurrence)).copied().unwrap_or(1)
+    }
+
+    fn of_key(&self, title: &str, occurrence: usize, key: &str, repeat: usize) -> usize {
+        let lines = self.keys.get(&(title.to_owned(), occurrence, key.to_owned()));
+        let line = lines.and_then(|lines| lines.get(repeat)).copied();
+        line.unwrap_or_else(|| self.of_section(title, occurrence))
+    }
+}
--- /dev/null
+++ b/crates/anvillift-settings/src/hint.rs
@@ -0,0 +1,29 @@
+//! Hints for misspelt names.
+
+/// Largest number of edits at which a name is still suggested.
+const MAX_EDITS: usize = 3;
+
+/// Says which of `allowed` may have been meant, or lists them all.
+pub(crate) fn hint(given: &str, allowed: &[&str]) -> String {
+    let nearest = allowed.iter().min_by_key(|name| distance(given, name));
+    match nearest {
+        Some(name) if distance(given, name) <= MAX_EDITS => format!("did you mean `{name}`?"),
+        _ => format!("allowed: {}", allowed.join(", ")),
+    }
+}
+
+/// Levenshtein distance of two names.
+fn distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, from) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, to) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(from != *to);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
--- a/crates/anvillift-settings/src/lib.rs
+++ b/crates/anvillift-settings/src/lib.rs
@@ -1,1 +1,59 @@
 //! Reads and checks INI settings and change files.
+//!
+//! A text becomes a document of sections with line numbers, each section is
+//! read into its typed settings, and the whole is then checked for references
+//! between sections. Every fault of a file is collected, with section, key,
+//! line and what is allowed, so that one run of `anvillift settings check`
+//! shows all of them. Start at [`load`] for a daemon's settings and at
+//! [`parse_change`] for a planned change.
+
+mod change;
+mod check;
+mod configuration;
+mod document;
+mod fault;
+mod hint;
+mod host;
+mod reader;
+
+use std::fs;
+use std::path::Path;
+
+use anvillift_schema::configuration::Edit;
+use anvillift_schema::settings::HostSettings;
+
+pub use fault::{Fault, SettingsError};
+
+/// File name given for a text that was not read from a file.
+const UNNAMED_FILE: &str = "change";
+
+/// Reads and checks the settings of one daemon.
+pub fn load(path: &Path) -> Result<HostSettings, SettingsError> {
+    let file = path.display().to_string();
+    let text = read(path, &file)?;
+    parse(&file, &text)
+}
+
+/// Checks the text of a settings file; `file` names it in faults.
+pub fn parse(file: &str, text: &str) -> Result<HostSettings, SettingsError> {
+    host::parse(file, text)
+}
+
+/// Reads the edits of a change file.
+pub fn load_change(path: &Path) -> Result<Vec<Edit>, SettingsError> {
+    let file = path.display().to_string();
+    let text = read(path, &file)?;
+    change::parse(&file, &text)
+}
+
+/// Checks the text of a change and gives its edits.
+pub fn parse_change(text: &str) -> Result<Vec<Edit>, SettingsError> {
+    change::parse(UNNAMED_FILE, text)
+}
+
+fn read(path: &Path, file: &str) -> Result<String, SettingsError> {
+    fs::read_to_string(path).map_err(|error| {
+        let message = format!("cannot be read: {error}");
+        SettingsError { faults: vec![Fault::of_file(file, message)] }
+    })
+}
