--- a/crates/anvillift-routing/src/decide.rs
+++ b/crates/anvillift-routing/src/decide.rs
@@ -99,11 +99,12 @@
     profile: &Profile,
     draws: &mut SmallRng,
 ) -> Option<Candidate<'a, UpstreamRoom>> {
+    let weights = Weights::of(profile);
     let mut shortlist = Shortlist::default();
     for (position, room) in view.upstreams.iter().enumerate() {
         if may_use(room, request) {
             let estimate = estimate::at_upstream(room, request, 0);
-            shortlist.offer(position, score_ms(&estimate, request, profile), estimate);
+            shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
         }
     }
     for cached in &request.cached {
@@ -111,7 +112,7 @@
         let room = &view.upstreams[position];
         if may_use(room, request) {
             let estimate = estimate::at_upstream(room, request, cached.tokens);
-            shortlist.offer(position, score_ms(&estimate, request, profile), estimate);
+            shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
         }
     }
     let chosen = shortlist.draw(draws)?;
@@ -138,6 +139,7 @@
     if request.forwarded {
         return None;
     }
+    let weights = Weights::of(profile);
     let rooms = view.data_centres.iter().filter(|room| {
         let reachable = room.upstreams > 0 && !room.hosts.is_empty();
         reachable && room.age_ms <= FRESH_NEWS_MS && !request.tried.contains(&room.data_centre)
@@ -147,29 +149,39 @@
         let cached_tokens = cached.map_or(0, |cached| cached.tokens);
         let estimate = estimate::at_data_centre(room, request, cached_tokens);
         let score_ms =
-            score_ms(&estimate, request, profile) + away_cost_ms(room, &view.region, profile);
+            weights.score_ms(&estimate, request) + weights.away_cost_ms(room, &view.region);
         Candidate { room, estimate, score_ms }
     });
     candidates.min_by(|one, other| one.score_ms.total_cmp(&other.score_ms))
 }
 
-/// Weighs latency and computed tokens, in milliseconds of latency.
-fn score_ms(estimate: &Estimate, request: &RequestFacts, profile: &Profile) -> f64 {
-    let cost_weight = relative_to_tail(profile.weight_cost_milli, profile);
-    let late_gap_ms = (estimate.gap_ms - f64::from(profile.between_tokens_target_ms)).max(0.0);
-    let late_ms = late_gap_ms * request.answer_tokens.min(LATE_GAP_TOKENS) as f64;
-    estimate.first_token_ms + late_ms + cost_weight * estimate.prefill_ms
+/// Weights of a profile relative to that of tail latency.
+struct Weights {
+    cost: f64,
+    away: f64,
+    gap_target_ms: f64,
 }
 
-fn relative_to_tail(weight_milli: u32, profile: &Profile) -> f64 {
-    f64::from(weight_milli) / f64::from(profile.weight_tail_milli.max(1))
-}
+impl Weights {
+    fn of(profile: &Profile) -> Self {
+        let tail = f64::from(profile.weight_tail_milli.max(1));
+        Self {
+            cost: f64::from(profile.weight_cost_milli) / tail,
+            away: f64::from(profile.weight_away_milli) / tail,
+            gap_target_ms: f64::from(profile.between_tokens_target_ms),
+        }
+    }
+
+    /// Weighs latency and computed tokens, in milliseconds of latency.
+    fn score_ms(&self, estimate: &Estimate, request: &RequestFacts) -> f64 {
+        let late_gap_ms = (estimate.gap_ms - self.gap_target_ms).max(0.0);
+        let late_ms = late_gap_ms * request.answer_tokens.min(LATE_GAP_TOKENS) as f64;
+        estimate.first_token_ms + late_ms + self.cost * estimate.prefill_ms
+    }
 
-fn away_cost_ms(room: &DataCentreRoom, own_region: &Name, profile: &Profile) -> f64 {
-    if room.region == *own_region {
-        return 0.0;
+    fn away_cost_ms(&self, room: &DataCentreRoom, own_region: &Name) -> f64 {
+        if room.region == *own_region { 0.0 } else { AWAY_COST_MS * self.away }
     }
-    AWAY_COST_MS * relative_to_tail(profile.weight_away_milli, profile)
 }
 
 /// Whether a request leaves: the own data centre is late and the gain is clear.
--- a/crates/anvillift-routing/src/estimate.rs
+++ b/crates/anvillift-routing/src/estimate.rs
@@ -43,7 +43,7 @@
 /// Expectation at an upstream that has `cached_tokens` of the prompt.
 pub fn at_upstream(room: &UpstreamRoom, request: &RequestFacts, cached_tokens: u64) -> Estimate {
     let load = &room.load;
-    let prefill_per_ms = rate_per_ms(load.prefill_rate_tokens_per_s);
+    let ms_per_token = ms_per_token(load.prefill_rate_tokens_per_s);
     let queued_tokens = load.queued_tokens + room.sent_tokens;
     let outstanding = (load.running_requests + load.queued_requests).max(room.own_in_flight) as f64;
     let gap_ms = gap_ms(load.running_requests, load.token_rate_milli);
@@ -53,8 +53,8 @@
         f64::from(load.max_running_requests)
     };
     let slot_wait_ms = slot_wait_ms(outstanding, slots, request.answer_tokens, gap_ms);
-    let prefill_ms = request.prompt_tokens.saturating_sub(cached_tokens) as f64 / prefill_per_ms;
-    let wait_ms = queued_tokens as f64 / prefill_per_ms
+    let prefill_ms = request.prompt_tokens.saturating_sub(cached_tokens) as f64 * ms_per_token;
+    let wait_ms = queued_tokens as f64 * ms_per_token
         + slot_wait_ms
         + outstanding * OUTSTANDING_COST_MS
         + ramp_up_ms(room, slots);
@@ -68,22 +68,22 @@
     cached_tokens: u64,
 ) -> Estimate {
     let upstreams = f64::from(room.upstreams.max(1));
-    let prefill_per_ms = rate_per_ms(room.prefill_rate_tokens_per_s);
+    let ms_per_token = ms_per_token(room.prefill_rate_tokens_per_s);
     let queued_tokens = (room.queued_tokens + room.sent_tokens) as f64;
     let gap_ms = gap_ms(room.running_requests, room.token_rate_milli);
     let slots = f64::from(room.running_requests + room.free_slots);
     let full_by = if room.free_slots == 0 { slots } else { f64::from(room.running_requests) };
     let slot_wait_ms = slot_wait_ms(full_by, slots, request.answer_tokens, gap_ms);
     let computed_tokens = request.prompt_tokens.saturating_sub(cached_tokens) as f64;
-    let prefill_ms = computed_tokens * upstreams / prefill_per_ms;
+    let prefill_ms = computed_tokens * upstreams * ms_per_token;
     let travel_ms = room.round_trip_ms as f64 + transfer_ms(room, request.body_bytes);
-    let wait_ms = queued_tokens / prefill_per_ms + slot_wait_ms + travel_ms;
+    let wait_ms = queued_tokens * ms_per_token + slot_wait_ms + travel_ms;
     Estimate { wait_ms, first_token_ms: wait_ms + prefill_ms + gap_ms, gap_ms, prefill_ms }
 }
 
-fn rate_per_ms(tokens_per_s: u64) -> f64 {
+fn ms_per_token(tokens_per_s: u64) -> f64 {
     let per_s = if tokens_per_s == 0 { ASSUMED_PREFILL_TOKENS_PER_S } else { tokens_per_s as f64 };
-    per_s / 1000.0
+    1000.0 / per_s
 }
 
 fn gap_ms(running_requests: u32, token_rate_milli: u64) -> f64 {
--- a/crates/anvillift-routing/src/shortlist.rs
+++ b/crates/anvillift-routing/src/shortlist.rs
@@ -38,6 +38,10 @@
 impl Shortlist {
     /// Offers an upstream; a better score for a listed one replaces its old score.
     pub fn offer(&mut self, position: usize, score_ms: f64, estimate: Estimate) {
+        let worst = self.best[LENGTH - 1];
+        if worst.is_some_and(|worst| worst.score_ms <= score_ms) {
+            return;
+        }
         let listed = self.best.iter().flatten().find(|scored| scored.position == position);
         if let Some(listed) = listed {
             if listed.score_ms <= score_ms {
@@ -45,10 +49,6 @@
             }
             self.withdraw(position);
         }
-        let worst = self.best[LENGTH - 1];
-        if worst.is_some_and(|worst| worst.score_ms <= score_ms) {
-            return;
-        }
         let mut offered = Some(Scored { position, score_ms, estimate });
         for slot in &mut self.best {
             let better = match (&*slot, &offered) {
