Add stand-in engine and plain service

Cause: nothing could be asked through a gateway, since no upstream existed. Ruled out: a generic mock server, which cannot batch, cache or lag; timing steps from wake to wake, which makes an engine slower on a busy machine. Change: `engine` batches, caches prefixes, lags, cancels, resumes and takes fenced orders; `plain` counts runs and cuts connections; both announce themselves and run as `anvillift-bench engine|plain`. Seen failing with the mechanism removed: cancel on drop, the fencing check, the cache's use order. Conclusion: the published protocols can be exercised end to end.

--- /dev/null
+++ b/crates/anvillift-bench/src/cmd/engine.rs
@@ -0,0 +1,113 @@
+//! `anvillift-bench engine`: a stand-in engine as a process.
+
+use anvillift_bench::engine::{self, BatchSettings, EngineMode, EngineSettings};
+use anvillift_bench::error::BenchError;
+use anvillift_schema::name::Name;
+
+/// Run a stand-in model engine until SIGTERM.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "engine")]
+pub(crate) struct EngineCommand {
+    /// name of the upstream
+    #[argh(option)]
+    name: String,
+    /// service it serves
+    #[argh(option)]
+    service: String,
+    /// base URLs of entry hosts, comma separated
+    #[argh(option)]
+    announce: String,
+    /// upstream key
+    #[argh(option)]
+    key: String,
+    /// IP and port to listen on
+    #[argh(option, default = "String::from(\"127.0.0.1:0\")")]
+    listen: String,
+    /// models loaded, comma separated
+    #[argh(option, default = "String::from(\"stand-in\")")]
+    models: String,
+    /// largest batch
+    #[argh(option, default = "BatchSettings::default().max_running_requests")]
+    max_running_requests: u32,
+    /// duration of a step with an empty batch, in microseconds
+    #[argh(option, default = "BatchSettings::default().step_base_us")]
+    step_base_us: u64,
+    /// added to a step by each sequence, in microseconds
+    #[argh(option, default = "BatchSettings::default().step_per_sequence_us")]
+    step_per_sequence_us: u64,
+    /// prompt tokens computed a second
+    #[argh(option, default = "BatchSettings::default().prefill_rate_tokens_per_s")]
+    prefill_rate_tokens_per_s: u64,
+    /// blocks of 256 tokens that the prefix cache holds
+    #[argh(option, default = "EngineSettings::default().cache_blocks")]
+    cache_blocks: usize,
+    /// lag of load reports, in milliseconds
+    #[argh(option, default = "EngineSettings::default().load_lag_ms")]
+    load_lag_ms: u64,
+    /// lag of cache events, in milliseconds
+    #[argh(option, default = "EngineSettings::default().cache_event_lag_ms")]
+    cache_event_lag_ms: u64,
+    /// cache events lost, in thousandths
+    #[argh(option, default = "EngineSettings::default().cache_event_loss_milli")]
+    cache_event_loss_milli: u32,
+    /// duration of steps against normal, in thousandths
+    #[argh(option, default = "EngineMode::default().slow_milli")]
+    slow_milli: u32,
+    /// requests answered 500, in thousandths
+    #[argh(option, default = "0")]
+    fail_milli: u32,
+    /// cut streams after this many tokens
+    #[argh(option)]
+    break_after_tokens: Option<u32>,
+    /// take orders with an old fencing number
+    #[argh(switch)]
+    ignore_fencing: bool,
+    /// do not resume cut streams
+    #[argh(switch)]
+    no_resume: bool,
+    /// leave `usage` out of answers
+    #[argh(switch)]
+    no_usage: bool,
+}
+
+impl EngineCommand {
+    /// Runs the engine.
+    pub(crate) async fn execute(self) -> Result<(), BenchError> {
+        let name = self.name.clone();
+        let running = engine::start(self.into_settings()).await?;
+        super::print_line(&format!("{name} http://{}", running.addr));
+        super::stop_signal().await;
+        running.stop().await;
+        Ok(())
+    }
+
+    fn into_settings(self) -> EngineSettings {
+        EngineSettings {
+            name: Name::from(self.name),
+            service: Name::from(self.service),
+            models: self.models.split(',').map(Name::from).collect(),
+            listen: self.listen,
+            announce: super::announce_settings(&self.announce, self.key),
+            batch: BatchSettings {
+                max_running_requests: self.max_running_requests,
+                step_base_us: self.step_base_us,
+                step_per_sequence_us: self.step_per_sequence_us,
+                prefill_rate_tokens_per_s: self.prefill_rate_tokens_per_s,
+                ..BatchSettings::default()
+            },
+            cache_blocks: self.cache_blocks,
+            load_lag_ms: self.load_lag_ms,
+            cache_event_lag_ms: self.cache_event_lag_ms,
+            cache_event_loss_milli: self.cache_event_loss_milli,
+            checks_fencing: !self.ignore_fencing,
+            can_resume: !self.no_resume,
+            reports_usage: !self.no_usage,
+            mode: EngineMode {
+                slow_milli: self.slow_milli,
+                fail_milli: self.fail_milli,
+                break_after_tokens: self.break_after_tokens,
+            },
+            ..EngineSettings::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-bench/src/cmd/mod.rs
@@ -0,0 +1,65 @@
+//! Subcommands, one a file.
+
+mod engine;
+mod plain;
+
+use std::error::Error;
+use std::io::{self, Write};
+
+use anvillift_bench::announce::AnnounceSettings;
+use anvillift_bench::error::BenchError;
+
+/// A subcommand.
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    /// Stand-in engine.
+    Engine(engine::EngineCommand),
+    /// Stand-in plain service.
+    Plain(plain::PlainCommand),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub(crate) async fn execute(self) -> Result<(), BenchError> {
+        match self {
+            Self::Engine(command) => command.execute().await,
+            Self::Plain(command) => command.execute().await,
+        }
+    }
+}
+
+/// Writes an error with its causes.
+pub(crate) fn report_error(error: &BenchError) {
+    let mut text = format!("error: {error}");
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(&format!("\n  because: {error}"));
+        cause = error.source();
+    }
+    let _ = writeln!(io::stderr(), "{text}");
+}
+
+/// Writes a line to standard output.
+fn print_line(line: &str) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
+fn announce_settings(hosts: &str, key: String) -> AnnounceSettings {
+    let hosts = hosts.split(',').filter(|host| !host.is_empty()).map(str::to_owned).collect();
+    AnnounceSettings { hosts, key, ..AnnounceSettings::default() }
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/anvillift-bench/src/engine/http.rs
@@ -0,0 +1,219 @@
+//! HTTP interface of the stand-in engine.
+//!
+//! Chat completions, orders, and two endpoints for tests: `GET /v1/inspect`
+//! and `POST /v1/mode`.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use anvillift_schema::upstream::{FencedOrder, UpstreamOrderAction};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use salvo::http::StatusCode;
+use salvo::prelude::Json;
+use salvo::{Depot, Request, Response, Router, handler};
+use serde::Serialize;
+use tokio::sync::watch;
+
+use super::batch::SequenceRequest;
+use super::orders::OrderBook;
+use super::prompt::{ChatRequest, Prompt};
+use super::runner::Engine;
+use super::settings::{EngineMode, EngineSettings};
+use super::stream::{self, StreamSettings};
+
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// What the handlers share.
+pub(super) struct Shared {
+    pub(super) settings: EngineSettings,
+    pub(super) engine: Arc<Engine>,
+    pub(super) orders: Mutex<OrderBook>,
+    pub(super) leaving: watch::Sender<bool>,
+    draws: Mutex<SmallRng>,
+    requests: AtomicU64,
+    failed: AtomicU64,
+}
+
+/// What `GET /v1/inspect` tells.
+#[derive(Clone, Debug, serde::Deserialize, PartialEq, Serialize)]
+pub struct EngineReport {
+    /// Requests received.
+    pub requests: u64,
+    /// Requests failed on purpose.
+    pub failed: u64,
+    /// Answers finished.
+    pub completed: u64,
+    /// Requests cancelled.
+    pub cancelled: u64,
+    /// Requests running.
+    pub running: usize,
+    /// Requests waiting.
+    pub queued: usize,
+    /// Prompt tokens computed.
+    pub computed_tokens: u64,
+    /// Prompt tokens found in the cache.
+    pub cached_tokens: u64,
+    /// Answer tokens made.
+    pub answer_tokens: u64,
+    /// Orders taken.
+    pub orders: Vec<FencedOrder>,
+    /// Models loaded.
+    pub models: Vec<anvillift_schema::name::Name>,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: EngineSettings,
+        engine: Arc<Engine>,
+        leaving: watch::Sender<bool>,
+    ) -> Self {
+        let orders = OrderBook::new(settings.checks_fencing, settings.models.clone());
+        let draws = SmallRng::seed_from_u64(settings.seed.wrapping_add(1));
+        Self {
+            settings,
+            engine,
+            orders: Mutex::new(orders),
+            leaving,
+            draws: Mutex::new(draws),
+            requests: AtomicU64::new(0),
+            failed: AtomicU64::new(0),
+        }
+    }
+
+    pub(super) fn report(&self) -> EngineReport {
+        let (totals, running, queued) = self.engine.with_batch(|batch| {
+            (batch.totals(), batch.running_requests(), batch.queued_requests())
+        });
+        let orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        EngineReport {
+            requests: self.requests.load(Ordering::Relaxed),
+            failed: self.failed.load(Ordering::Relaxed),
+            completed: totals.completed,
+            cancelled: totals.cancelled,
+            running,
+            queued,
+            computed_tokens: totals.computed_tokens,
+            cached_tokens: totals.cached_tokens,
+            answer_tokens: totals.answer_tokens,
+            orders: orders.taken.clone(),
+            models: orders.models.clone(),
+        }
+    }
+
+    fn fails_now(&self, mode: &EngineMode) -> bool {
+        let mut draws = self.draws.lock().unwrap_or_else(PoisonError::into_inner);
+        mode.fail_milli > 0 && draws.random_range(0..1000) < mode.fail_milli
+    }
+}
+
+pub(super) fn router(shared: &Arc<Shared>) -> Router {
+    Router::new()
+        .push(Router::with_path("v1/chat/completions").post(Chat(Arc::clone(shared))))
+        .push(Router::with_path("v1/orders").post(Orders(Arc::clone(shared))))
+        .push(Router::with_path("v1/inspect").get(Inspect(Arc::clone(shared))))
+        .push(Router::with_path("v1/mode").post(Mode(Arc::clone(shared))))
+}
+
+struct Chat(Arc<Shared>);
+
+#[handler]
+impl Chat {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response) {
+        let shared = &self.0;
+        shared.requests.fetch_add(1, Ordering::Relaxed);
+        let mode = shared.engine.mode();
+        if shared.fails_now(&mode) {
+            shared.failed.fetch_add(1, Ordering::Relaxed);
+            res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+            return;
+        }
+        let Ok(chat) = req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let prompt = Prompt::new(&chat.messages);
+        let sequence = sequence(&shared.settings, req, &chat, &prompt);
+        let stream_settings = StreamSettings {
+            id: header(req, "anvillift-attempt").unwrap_or_default(),
+            model: chat.model,
+            answer_tokens: sequence.answer_tokens,
+            first_event: sequence.first_index,
+            reports_usage: shared.settings.reports_usage,
+            break_after_tokens: mode.break_after_tokens,
+        };
+        let Some(answer) = shared.engine.submit(sequence) else {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        };
+        if chat.stream {
+            stream::write_events(res, stream_settings, prompt, answer);
+        } else {
+            stream::write_whole(res, stream_settings, prompt, answer).await;
+        }
+    }
+}
+
+fn sequence(
+    settings: &EngineSettings,
+    req: &Request,
+    chat: &ChatRequest,
+    prompt: &Prompt,
+) -> SequenceRequest {
+    let number = |name| header(req, name).and_then(|text| text.parse::<u32>().ok()).unwrap_or(0);
+    let first_index = if settings.can_resume { number("anvillift-resume-offset") } else { 0 };
+    let asked_tokens = chat.max_tokens.unwrap_or(settings.default_answer_tokens);
+    SequenceRequest {
+        priority: number("anvillift-priority"),
+        prompt_tokens: prompt.tokens + u64::from(first_index),
+        blocks: prompt.blocks.clone(),
+        first_index,
+        answer_tokens: asked_tokens.clamp(1, settings.batch.max_answer_tokens),
+    }
+}
+
+fn header(req: &Request, name: &str) -> Option<String> {
+    req.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+struct Orders(Arc<Shared>);
+
+#[handler]
+impl Orders {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response) {
+        let Ok(order) = req.parse_json::<FencedOrder>().await else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let leave = order.order.action == UpstreamOrderAction::Leave;
+        let taken = self.0.orders.lock().unwrap_or_else(PoisonError::into_inner).take(order);
+        if !taken {
+            res.status_code(StatusCode::CONFLICT);
+        } else if leave {
+            self.0.leaving.send_replace(true);
+        }
+    }
+}
+
+struct Inspect(Arc<Shared>);
+
+#[handler]
+impl Inspect {
+    async fn handle(&self, _req: &mut Request, _depot: &mut Depot, res: &mut Response) {
+        res.render(Json(self.0.report()));
+    }
+}
+
+struct Mode(Arc<Shared>);
+
+#[handler]
+impl Mode {
+    async fn handle(&self, req: &mut Request, _depot: &mut Depot, res: &mut Response) {
+        match req.parse_json::<EngineMode>().await {
+            Ok(mode) => self.0.engine.set_mode(mode),
+            Err(_) => {
+                res.status_code(StatusCode::BAD_REQUEST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-bench/tests/plain.rs
@@ -0,0 +1,33 @@
+//! The stand-in plain service over HTTP.
+
+use anvillift_bench::plain::{self, Fault, PlainMode, PlainSettings, RunReport};
+use reqwest::{Client, retry};
+use rstest::rstest;
+
+#[rstest]
+#[case(Fault::None, true, 1)]
+#[case(Fault::CloseOnArrival, false, 0)]
+#[case(Fault::RunThenClose, false, 1)]
+#[case(Fault::CutAnswer, false, 1)]
+#[tokio::test]
+async fn faults_strike_commands(#[case] fault: Fault, #[case] whole: bool, #[case] runs: usize) {
+    let service = plain::start(PlainSettings::default()).await.unwrap();
+    let client = Client::builder().retry(retry::never()).build().unwrap();
+    let base = format!("http://{}", service.addr);
+    // The connection that the fault closes comes from the pool.
+    client.get(format!("{base}/pivots/7")).send().await.unwrap().bytes().await.unwrap();
+    service.set_mode(PlainMode { fault, ..PlainMode::default() });
+    let command = client.post(format!("{base}/pivots/7/stop")).header("Idempotency-Key", "k1");
+    let answered = match command.send().await {
+        Ok(answer) => answer.bytes().await.is_ok(),
+        Err(_) => false,
+    };
+    assert_eq!(answered, whole);
+    let inspect = Client::new().get(format!("{base}/v1/inspect")).send().await.unwrap();
+    let report: RunReport = inspect.json().await.unwrap();
+    assert_eq!(report, service.report());
+    assert_eq!(report.commands_seen, 1);
+    assert_eq!(report.count("k1", "/pivots/7/stop"), runs);
+    assert_eq!(report.reads, 1);
+    service.stop().await;
+}
