--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -19,13 +19,15 @@
 const DERIVES: [&str; 2] = ["PartialEq", "Eq"];
 
 /// Generated types whose default is that of all their fields.
-const DEFAULTS: [&str; 8] = [
+const DEFAULTS: [&str; 10] = [
     "Announcement",
+    "BurnCounters",
     "Configuration",
     "GroupSettings",
     "HostSettings",
     "Identity",
     "KeySettings",
+    "RequestCount",
     "ServiceSummary",
     "UpstreamLoad",
 ];
