Add the replicated log core

Cause: control and the ledger need a log of their own that survives crashes, lost disks and partitions; no consensus library is to be used. Ruled out: voters named by host alone (a wiped disk would vote in its old name); replacing a voter in one step (the majorities of {A,B,c1} and {A,B,c2} need not meet); promises of a lease that a restart forgets.

--- /dev/null
+++ b/crates/anvillift-consensus/src/leader.rs
@@ -0,0 +1,311 @@
+//! The leader's side: replication, commitment, the lease and reads.
+
+use std::collections::BTreeMap;
+
+use anvillift_schema::consensus::{ConsensusMessage, Entry, EntryBody, Voter};
+
+use crate::effect::Effect;
+use crate::progress::Progress;
+use crate::quorum;
+use crate::replica::{ProposeError, Replica};
+use crate::role::{Leadership, PendingRead, ReplicaKey, Role};
+
+impl Replica {
+    pub(crate) fn become_leader(&mut self, now_ms: u64) {
+        let first_index = self.log.last_index() + 1;
+        self.leader = Some(self.identity.host.clone());
+        self.role = Role::Leader(Leadership {
+            first_index,
+            since_ms: now_ms,
+            heartbeat_due_ms: now_ms + self.settings.heartbeat_ms,
+            ..Leadership::default()
+        });
+        // The first entries of a group carry its voters to the other replicas.
+        let body = if first_index == 1 {
+            EntryBody::Voters(self.log.voters().clone())
+        } else {
+            EntryBody::Noop(true)
+        };
+        self.append_as_leader(now_ms, body);
+        self.replicate(now_ms, true);
+    }
+
+    pub(crate) fn check_takes_proposals(&self) -> Result<(), ProposeError> {
+        match &self.role {
+            Role::Leader(leadership) if leadership.transfer_until_ms.is_none() => Ok(()),
+            _ => Err(ProposeError::NotLeader {
+                leader: self.leader.clone().filter(|leader| *leader != self.identity.host),
+            }),
+        }
+    }
+
+    /// Adds an entry and sends it before it is durable here.
+    pub(crate) fn append_as_leader(&mut self, now_ms: u64, body: EntryBody) -> u64 {
+        let index = self.log.last_index() + 1;
+        let entry = Entry { index, term: self.vote.term, body };
+        self.log.push(entry.clone());
+        self.track_replicas();
+        self.replicate(now_ms, false);
+        self.emit(Effect::Append { entries: vec![entry] });
+        index
+    }
+
+    /// Follows changes of the voters and learners.
+    fn track_replicas(&mut self) {
+        let others = self.other_replicas();
+        let next_index = self.log.last_index();
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let mut progress = BTreeMap::new();
+        for replica in others {
+            let key = Self::key(&replica);
+            let known = leadership.progress.remove(&key);
+            progress.insert(key, known.unwrap_or_else(|| Progress::new(next_index)));
+        }
+        leadership.progress = progress;
+    }
+
+    fn other_replicas(&self) -> Vec<Voter> {
+        let voters = self.log.voters();
+        let all = voters.voters.iter().chain(&voters.learners);
+        all.filter(|replica| **replica != self.identity).cloned().collect()
+    }
+
+    pub(crate) fn tick_leader(&mut self, now_ms: u64) {
+        self.tick_transfer(now_ms);
+        self.tick_learners(now_ms);
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if now_ms >= leadership.heartbeat_due_ms {
+            leadership.heartbeat_due_ms = now_ms + self.settings.heartbeat_ms;
+            self.replicate(now_ms, true);
+        }
+    }
+
+    /// Sends what each replica lacks; with `heartbeat` also where that is nothing.
+    pub(crate) fn replicate(&mut self, now_ms: u64, heartbeat: bool) {
+        for replica in self.other_replicas() {
+            self.replicate_to(now_ms, &replica, heartbeat);
+        }
+    }
+
+    fn replicate_to(&mut self, now_ms: u64, replica: &Voter, heartbeat: bool) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(progress) = leadership.progress.get_mut(&Self::key(replica)) else { return };
+        let in_flight = progress.next_index - 1 - progress.match_index.min(progress.next_index - 1);
+        let mut next_index = progress.next_index;
+        if next_index <= self.log.offset_index() {
+            if heartbeat || progress.snapshot.is_none() {
+                self.send_snapshot_part(now_ms, replica);
+            }
+            return;
+        }
+        let pending = self.log.last_index() >= next_index;
+        let open = progress.matched && in_flight < self.settings.max_in_flight_entries;
+        let entries = if pending && (open || heartbeat) {
+            let max_entries = self.settings.max_message_entries;
+            self.log.slice(next_index, max_entries, self.settings.max_message_bytes)
+        } else {
+            Vec::new()
+        };
+        if entries.is_empty() && !heartbeat {
+            return;
+        }
+        next_index += entries.len() as u64;
+        if progress.matched {
+            progress.next_index = next_index;
+        }
+        self.send_entries(now_ms, replica, next_index, entries);
+    }
+
+    fn send_entries(&mut self, now_ms: u64, replica: &Voter, next_index: u64, entries: Vec<Entry>) {
+        let prev_index = next_index - entries.len() as u64 - 1;
+        let message = ConsensusMessage::AppendRequest {
+            term: self.vote.term,
+            prev_index,
+            prev_term: self.log.term_at(prev_index).unwrap_or(0),
+            entries,
+            commit_index: self.commit_index,
+            sent_ms: now_ms,
+        };
+        self.send(replica, message);
+    }
+
+    fn send_snapshot_part(&mut self, now_ms: u64, replica: &Voter) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(progress) = leadership.progress.get_mut(&Self::key(replica)) else { return };
+        let index = snapshot.meta.index;
+        let offset = match progress.snapshot {
+            Some((sending, offset)) if sending == index => offset,
+            _ => 0,
+        };
+        progress.snapshot = Some((index, offset));
+        let start = (offset as usize).min(snapshot.data.len());
+        let end = (start + self.settings.snapshot_part_bytes).min(snapshot.data.len());
+        let message = ConsensusMessage::SnapshotRequest {
+            term: self.vote.term,
+            data: snapshot.data[start..end].to_vec().into(),
+            done: end == snapshot.data.len(),
+            meta: snapshot.meta,
+            offset,
+            sent_ms: now_ms,
+        };
+        self.send(replica, message);
+    }
+
+    /// Checks an answer of a replica of the group and notes when it was asked.
+    pub(crate) fn accept_answer(
+        &mut self,
+        now_ms: u64,
+        from: &Voter,
+        term: u64,
+        sent_ms: u64,
+    ) -> bool {
+        let known = self.other_replicas().contains(from);
+        if known && term > self.vote.term {
+            self.enter_term(now_ms, term);
+        }
+        let current = known && term == self.vote.term;
+        let Role::Leader(leadership) = &mut self.role else { return false };
+        if let Some(progress) = leadership.progress.get_mut(&Self::key(from))
+            && current
+        {
+            progress.acked_ms = progress.acked_ms.max(sent_ms.min(now_ms));
+            return true;
+        }
+        false
+    }
+
+    fn progress_of(&mut self, replica: &Voter) -> Option<&mut Progress> {
+        match &mut self.role {
+            Role::Leader(leadership) => leadership.progress.get_mut(&Self::key(replica)),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn on_append_response(
+        &mut self,
+        now_ms: u64,
+        from: &Voter,
+        match_index: u64,
+        success: bool,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.progress_of(from) else { return };
+        let mut probe = false;
+        if success {
+            progress.accept(match_index.min(last_index));
+            self.advance_commit(now_ms);
+        } else {
+            probe = progress.reject(match_index);
+        }
+        self.answer_reads(now_ms);
+        self.replicate_to(now_ms, from, probe);
+    }
+
+    pub(crate) fn on_snapshot_response(
+        &mut self,
+        now_ms: u64,
+        from: &Voter,
+        index: u64,
+        next_offset: u64,
+        done: bool,
+    ) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.progress_of(from) else { return };
+        if done {
+            progress.snapshot = None;
+            progress.accept(index.min(last_index));
+        } else if progress.snapshot.is_some_and(|(sending, _)| sending == index) {
+            progress.snapshot = Some((index, next_offset));
+        }
+        self.answer_reads(now_ms);
+        self.replicate_to(now_ms, from, !done);
+    }
+
+    /// Commits what a majority holds, once that includes an entry of the term.
+    pub(crate) fn advance_commit(&mut self, now_ms: u64) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let reached = quorum::reached(self.log.voters(), |voter| {
+            if *voter == self.identity {
+                return self.synced_index;
+            }
+            let progress = leadership.progress.get(&Self::key(voter));
+            progress.map_or(0, |progress| progress.match_index)
+        });
+        if reached > self.commit_index && self.log.term_at(reached) == Some(self.vote.term) {
+            self.commit_upto(now_ms, reached);
+            self.answer_reads(now_ms);
+        }
+    }
+
+    /// Applies committed entries and answers those who asked for them.
+    pub(crate) fn commit_upto(&mut self, now_ms: u64, index: u64) {
+        self.commit_index = self.commit_index.max(index.min(self.log.last_index()));
+        while self.applied_index < self.commit_index {
+            self.applied_index += 1;
+            let index = self.applied_index;
+            let body = self.log.entry(index).map(|entry| entry.body.clone());
+            if let Some(EntryBody::Command(command)) = body {
+                self.emit(Effect::Apply { index, command: command.into() });
+            }
+            if let Role::Leader(leadership) = &mut self.role
+                && let Some(request_id) = leadership.proposals.remove(&index)
+            {
+                self.emit(Effect::Answer { request_id, result: Ok(index) });
+            }
+        }
+        self.leave_if_removed(now_ms);
+    }
+
+    /// Time until which no other replica can have become leader.
+    pub(crate) fn lease_until_ms(&self, leadership: &Leadership, now_ms: u64) -> u64 {
+        self.quorum_acked_ms(leadership, now_ms) + self.settings.lease_ms()
+    }
+
+    /// Send time of the newest message that a majority has answered.
+    fn quorum_acked_ms(&self, leadership: &Leadership, now_ms: u64) -> u64 {
+        quorum::reached(self.log.voters(), |voter| {
+            if *voter == self.identity {
+                return now_ms;
+            }
+            let progress: Option<&Progress> =
+                leadership.progress.get::<ReplicaKey>(&Self::key(voter));
+            progress.map_or(0, |progress| progress.acked_ms)
+        })
+    }
+
+    /// Steps down when no majority has answered for an election timeout.
+    pub(crate) fn check_quorum(&mut self, now_ms: u64) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let acked_ms = self.quorum_acked_ms(leadership, now_ms).max(leadership.since_ms);
+        if now_ms > acked_ms + self.settings.election_timeout_ms {
+            self.become_follower(now_ms);
+        }
+    }
+
+    pub(crate) fn begin_read(&mut self, now_ms: u64, request_id: u64) {
+        let serves = self.may_serve_reads(now_ms);
+        let commit_index = self.commit_index;
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if serves {
+            self.emit(Effect::Answer { request_id, result: Ok(commit_index) });
+            return;
+        }
+        let index = commit_index.max(leadership.first_index);
+        leadership.reads.push(PendingRead { request_id, asked_ms: now_ms, index });
+    }
+
+    /// Answers the reads for which a majority has answered a later message.
+    pub(crate) fn answer_reads(&mut self, now_ms: u64) {
+        let applied_index = self.applied_index;
+        let Role::Leader(leadership) = &self.role else { return };
+        let acked_ms = self.quorum_acked_ms(leadership, now_ms);
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let ready =
+            |read: &mut PendingRead| read.asked_ms < acked_ms && read.index <= applied_index;
+        let answered: Vec<PendingRead> = leadership.reads.extract_if(.., ready).collect();
+        for read in answered {
+            self.emit(Effect::Answer { request_id: read.request_id, result: Ok(read.index) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-consensus/tests/testsuite/harness/checks.rs
@@ -0,0 +1,78 @@
+//! What must hold at every moment of a schedule.
+
+use anvillift_consensus::{AnswerError, RoleKind};
+use anvillift_schema::consensus::{EntryBody, Vote, Voter};
+use anvillift_schema::name::Name;
+
+use super::Cluster;
+
+impl Cluster {
+    pub(super) fn check_vote(&mut self, name: &Name, vote: &Vote) {
+        let Some(candidate) = &vote.voted_for else { return };
+        let storage_id = self.nodes[name].storage_id.clone();
+        let first = self.votes.entry((storage_id, vote.term)).or_insert(candidate.clone());
+        assert_eq!(first, candidate, "{name} voted twice in term {}", vote.term);
+    }
+
+    pub(super) fn check_answer(&mut self, request_id: u64, result: Result<u64, AnswerError>) {
+        let Ok(index) = result else { return };
+        if let Some(floor) = self.reads.remove(&request_id) {
+            assert!(index >= floor, "a read saw {index} after an answer at {floor}");
+            return;
+        }
+        let command = request_id.to_be_bytes().to_vec();
+        assert_eq!(self.committed[&index].body, EntryBody::Command(command.into()));
+        self.answered.insert(request_id, index);
+    }
+
+    /// Election safety, and agreement on what is committed.
+    pub(super) fn check(&mut self, name: &Name) {
+        let node = self.nodes.get_mut(name).unwrap();
+        let Some(replica) = &node.replica else { return };
+        let status = replica.status();
+        for index in node.checked_index + 1..=status.commit_index {
+            if let Some(entry) = replica.entry(index) {
+                let first = self.committed.entry(index).or_insert_with(|| entry.clone());
+                assert_eq!(first, entry, "{name} commits otherwise");
+            }
+        }
+        node.checked_index = status.commit_index;
+        if status.role != RoleKind::Leader {
+            return;
+        }
+        let identity = Voter { host: name.clone(), storage_id: node.storage_id.clone() };
+        if let Some(first) = self.leaders.get(&status.term) {
+            assert_eq!(*first, identity, "two leaders in term {}", status.term);
+            return;
+        }
+        self.check_new_leader(name, status.term);
+        self.leaders.insert(status.term, identity);
+    }
+
+    fn check_new_leader(&self, name: &Name, term: u64) {
+        let leader = self.nodes[name].replica.as_ref().unwrap();
+        for (&index, entry) in &self.committed {
+            let held = leader.term_at(index);
+            let dropped = held.is_none() && index <= leader.status().commit_index;
+            let newer = entry.term >= term;
+            assert!(held == Some(entry.term) || dropped || newer, "leader lacks {index}");
+        }
+        let newest = self.leaders.keys().all(|other| *other < term);
+        for (other, node) in &self.nodes {
+            let serves = other != name
+                && node.replica.as_ref().is_some_and(|other| other.may_serve_reads(self.now_ms));
+            assert!(!(serves && newest), "{name} was elected during the lease of {other}");
+        }
+    }
+
+    pub(super) fn check_leases(&self) {
+        let now_ms = self.now_ms;
+        let newest = self.newest_answer();
+        let replicas = self.nodes.values().filter_map(|node| node.replica.as_ref());
+        let serving: Vec<_> = replicas.filter(|replica| replica.may_serve_reads(now_ms)).collect();
+        assert!(serving.len() <= 1, "two leases at {now_ms}");
+        for replica in serving {
+            assert!(replica.status().commit_index >= newest, "the lease holder is behind");
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -0,0 +1,187 @@
+//! Leadership in single, named situations.
+
+use anvillift_consensus::{Replica, RoleKind};
+use anvillift_schema::consensus::Voter;
+use anvillift_schema::name::Name;
+
+use rstest::rstest;
+
+use crate::harness::{Cluster, ELECTION_TIMEOUT_MS};
+
+const SEED: u64 = 7;
+
+/// A group with a leader that has committed a command.
+fn working(size: usize, seed: u64) -> (Cluster, Name) {
+    let mut cluster = Cluster::new(size, seed);
+    cluster.run(100);
+    let leader = cluster.leader().expect("a leader");
+    let request_id = cluster.propose(&leader);
+    cluster.run(20);
+    assert!(cluster.answered.contains_key(&request_id));
+    (cluster, leader)
+}
+
+fn replica<'c>(cluster: &'c Cluster, name: &Name) -> &'c Replica {
+    cluster.nodes[name].replica.as_ref().expect("a running replica")
+}
+
+fn isolate(cluster: &mut Cluster, name: &Name) {
+    for other in cluster.nodes.keys().cloned().collect::<Vec<_>>() {
+        cluster.cut.insert((name.clone(), other.clone()));
+        cluster.cut.insert((other, name.clone()));
+    }
+}
+
+fn follower(cluster: &Cluster, leader: &Name) -> Name {
+    cluster.nodes.keys().find(|name| *name != leader).expect("a follower").clone()
+}
+
+#[rstest]
+fn a_returning_follower_does_not_end_a_leadership(#[values(3, 5)] size: usize) {
+    let (mut cluster, leader) = working(size, SEED);
+    let term = replica(&cluster, &leader).status().term;
+    let follower = follower(&cluster, &leader);
+    isolate(&mut cluster, &follower);
+    cluster.run(200);
+    cluster.cut.clear();
+    cluster.run(200);
+    let status = replica(&cluster, &leader).status();
+    assert_eq!((status.role, status.term), (RoleKind::Leader, term));
+}
+
+#[rstest]
+fn an_isolated_leader_steps_down_and_takes_nothing(#[values(3, 5)] size: usize) {
+    let (mut cluster, leader) = working(size, SEED);
+    isolate(&mut cluster, &leader);
+    let lost = cluster.propose(&leader);
+    cluster.run(ELECTION_TIMEOUT_MS as u32 / 10 + 3);
+    assert_ne!(replica(&cluster, &leader).status().role, RoleKind::Leader);
+    let refused = cluster.propose(&leader);
+    cluster.run(50);
+    let successor = cluster.leader().expect("a new leader");
+    assert_ne!(successor, leader);
+    assert!(!cluster.answered.contains_key(&lost) && !cluster.answered.contains_key(&refused));
+}
+
+#[test]
+fn a_frozen_leader_does_nothing_as_leader_when_it_wakes() {
+    let (mut cluster, leader) = working(3, SEED);
+    cluster.frozen.insert(leader.clone());
+    cluster.run(60);
+    assert!(!replica(&cluster, &leader).may_serve_reads(cluster.now_ms));
+    cluster.frozen.clear();
+    let late = cluster.propose(&leader);
+    assert_ne!(replica(&cluster, &leader).status().role, RoleKind::Leader);
+    cluster.run(60);
+    assert!(!cluster.answered.contains_key(&late));
+}
+
+#[rstest]
+fn leadership_is_handed_over_without_an_election_timeout(#[values(1, 2, 3)] seed: u64) {
+    let (mut cluster, leader) = working(3, seed);
+    cluster.call(&leader, |replica, now_ms| replica.transfer_leadership(now_ms));
+    cluster.run(ELECTION_TIMEOUT_MS as u32 / 10 - 1);
+    let successor = cluster.leader().expect("a successor within the timeout");
+    assert_ne!(successor, leader);
+}
+
+#[test]
+fn a_wiped_disk_is_no_voter_until_it_replaces_the_old_one() {
+    let (mut cluster, leader) = working(3, SEED);
+    let wiped = follower(&cluster, &leader);
+    cluster.wipe(&wiped);
+    let other = cluster.nodes.keys().find(|name| **name != leader && **name != wiped);
+    let other = other.expect("a third host").clone();
+    isolate(&mut cluster, &other);
+    let lost = cluster.propose(&leader);
+    cluster.run(100);
+    assert!(!cluster.answered.contains_key(&lost), "the wiped disk was counted");
+
+    cluster.cut.clear();
+    cluster.run(100);
+    cluster.repair();
+    cluster.run(100);
+    assert!(cluster.is_whole());
+    isolate(&mut cluster, &other);
+    cluster.run(100);
+    let leader = cluster.leader().expect("a leader");
+    let kept = cluster.propose(&leader);
+    cluster.run(50);
+    assert!(cluster.answered.contains_key(&kept), "the replacement is not counted");
+}
+
+#[test]
+fn a_new_replica_votes_only_after_it_has_caught_up() {
+    let (mut cluster, leader) = working(3, SEED);
+    let wiped = follower(&cluster, &leader);
+    cluster.wipe(&wiped);
+    isolate(&mut cluster, &wiped);
+    cluster.repair();
+    cluster.run(100);
+    let identity =
+        Voter { host: wiped.clone(), storage_id: cluster.nodes[&wiped].storage_id.clone() };
+    let voters = replica(&cluster, &leader).status().voters;
+    assert!(voters.learners.contains(&identity) && !voters.voters.contains(&identity));
+    assert_eq!(voters.voters.len(), 3, "the old voter is kept until then");
+    cluster.cut.clear();
+    cluster.run(100);
+    assert!(cluster.is_whole());
+}
+
+#[test]
+fn a_second_host_may_fail_just_after_a_repair() {
+    let (mut cluster, leader) = working(3, SEED);
+    let wiped = follower(&cluster, &leader);
+    cluster.wipe(&wiped);
+    cluster.repair();
+    let answered = cluster.propose(&leader);
+    while !cluster.is_whole() {
+        cluster.run(1);
+    }
+    cluster.stop(&leader);
+    cluster.run(100);
+    assert!(cluster.answered.contains_key(&answered));
+    let successor = cluster.leader().expect("a leader of the two that remain");
+    let request_id = cluster.propose(&successor);
+    cluster.run(50);
+    assert!(cluster.answered.contains_key(&request_id));
+}
+
+#[test]
+fn a_follower_far_behind_is_brought_up_by_a_snapshot() {
+    let (mut cluster, leader) = working(3, SEED);
+    let late = follower(&cluster, &leader);
+    isolate(&mut cluster, &late);
+    for _ in 0..50 {
+        cluster.propose(&leader);
+        cluster.run(3);
+    }
+    cluster.compact(&leader);
+    cluster.cut.clear();
+    cluster.run(50);
+    let commit_index = replica(&cluster, &leader).status().commit_index;
+    assert_eq!(replica(&cluster, &late).status().commit_index, commit_index);
+    assert!(cluster.nodes[&late].durable.snapshot.as_ref().is_some_and(|s| s.meta.index > 0));
+}
+
+#[test]
+fn a_damaged_log_gives_no_vote_before_it_is_fetched_again() {
+    let (mut cluster, leader) = working(3, SEED);
+    let damaged = follower(&cluster, &leader);
+    let third = cluster.nodes.keys().find(|name| **name != leader && **name != damaged);
+    let third = third.expect("a third host").clone();
+    isolate(&mut cluster, &third);
+    let kept = cluster.propose(&leader);
+    cluster.run(30);
+    assert!(cluster.answered.contains_key(&kept));
+    cluster.stop(&leader);
+    cluster.damage(&damaged, 0);
+    cluster.start(&damaged);
+    cluster.cut.clear();
+    cluster.run(200);
+    assert_eq!(cluster.leader(), None, "a majority without the committed entry");
+    cluster.start(&leader);
+    cluster.run(200);
+    assert!(cluster.is_whole());
+    assert!(cluster.leader().is_some());
+}
--- /dev/null
+++ b/crates/anvillift-consensus/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the replicated log core under a virtual clock.
+
+mod harness;
+mod leadership;
+mod schedules;
