--- /dev/null
+++ b/crates/anvillift-mesh/src/dial.rs
@@ -0,0 +1,94 @@
+//! Setting up connections: dialling peers and taking those who dial.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use snafu::ResultExt;
+use tokio::net::TcpStream;
+use tokio::time;
+
+use crate::error::{ConnectSnafu, LinkError, WebSocketSnafu};
+use crate::handshake::{self, Role};
+use crate::settings::MeshSettings;
+use crate::transport::{self, Connection, Socket};
+use anvillift_schema::name::Name;
+
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Dials a host and proves both sides.
+pub(crate) async fn dial(
+    settings: &MeshSettings,
+    address: &str,
+) -> Result<(Name, Socket), LinkError> {
+    within(async {
+        let tcp = TcpStream::connect(address).await.context(ConnectSnafu)?;
+        transport::configure(&tcp).context(ConnectSnafu)?;
+        let connection: Box<dyn Connection> = Box::new(tcp);
+        let request = format!("ws://{address}/link");
+        let config = Some(transport::web_socket_config());
+        let (mut socket, _) =
+            tokio_tungstenite::client_async_with_config(request, connection, config)
+                .await
+                .context(WebSocketSnafu)?;
+        let name = handshake::run(&mut socket, settings, Role::Dialler).await?;
+        Ok((name, socket))
+    })
+    .await
+}
+
+/// Takes a connection and proves both sides.
+pub(crate) async fn accept(
+    settings: &MeshSettings,
+    tcp: TcpStream,
+) -> Result<(Name, Socket), LinkError> {
+    within(async {
+        transport::configure(&tcp).context(ConnectSnafu)?;
+        let connection: Box<dyn Connection> = Box::new(tcp);
+        let config = Some(transport::web_socket_config());
+        let mut socket = tokio_tungstenite::accept_async_with_config(connection, config)
+            .await
+            .context(WebSocketSnafu)?;
+        let name = handshake::run(&mut socket, settings, Role::Listener).await?;
+        Ok((name, socket))
+    })
+    .await
+}
+
+async fn within<T>(work: impl Future<Output = Result<T, LinkError>>) -> Result<T, LinkError> {
+    time::timeout(HANDSHAKE_TIMEOUT, work).await.unwrap_or(Err(LinkError::HandshakeTimeout))
+}
+
+/// Waits between dials: doubling, with a random part.
+pub(crate) struct BackOff {
+    settings: Arc<MeshSettings>,
+    wait_ms: u64,
+}
+
+impl BackOff {
+    pub(crate) fn new(settings: Arc<MeshSettings>) -> Self {
+        let wait_ms = settings.redial_ms;
+        Self { settings, wait_ms }
+    }
+
+    pub(crate) fn reset(&mut self) {
+        self.wait_ms = self.settings.redial_ms;
+    }
+
+    pub(crate) async fn wait(&mut self) {
+        let wait_ms = rand::rng().random_range(self.wait_ms / 2..=self.wait_ms);
+        time::sleep(Duration::from_millis(wait_ms)).await;
+        self.wait_ms = (self.wait_ms * 2).min(self.settings.max_redial_ms);
+    }
+}
+
+/// Whether an accept error concerns one connection only.
+pub(crate) fn is_passing(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+            | io::ErrorKind::Interrupted
+    )
+}
--- a/crates/anvillift-mesh/src/lib.rs
+++ b/crates/anvillift-mesh/src/lib.rs
@@ -1,1 +1,25 @@
-//! Links between hosts: WebSocket and CBOR, streams with credits.
+//! Links between hosts.
+//!
+//! Each pair of hosts shares one WebSocket connection that carries CBOR frames
+//! of `schema/link.json`: messages, calls and multiplexed streams. The host
+//! with the smaller name dials. Both sides prove that they hold the link key
+//! before anything else is said. Start at [`mesh::Mesh`].
+
+mod codec;
+mod dial;
+pub mod error;
+mod handshake;
+pub mod inbox;
+mod link;
+pub mod mesh;
+pub mod settings;
+pub mod stream;
+mod stream_state;
+mod transport;
+mod write_queue;
+
+pub use error::{CallError, OpenError, StartError};
+pub use inbox::{IncomingStream, MeshInbox};
+pub use mesh::Mesh;
+pub use settings::MeshSettings;
+pub use stream::{AnswerSender, BodyReceiver, BodySender, ForwardedAnswer};
--- /dev/null
+++ b/crates/anvillift-mesh/src/link.rs
@@ -0,0 +1,280 @@
+//! One proven link: its reader, its writer and its streams.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::link::{
+    ForwardHead, LinkClass, LinkFrame, PeerAnswer, PeerCall, PeerMessage,
+};
+use anvillift_schema::name::Name;
+use bytes::Bytes;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use snafu::ResultExt;
+use tokio::sync::oneshot;
+use tokio::time;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_util::sync::CancellationToken;
+
+use crate::codec;
+use crate::error::{LinkError, OpenError, WebSocketSnafu};
+use crate::handshake::Role;
+use crate::inbox::{IncomingStream, MeshInbox};
+use crate::settings::MeshSettings;
+use crate::stream::{AnswerSender, BodyReceiver, BodySender, ForwardedAnswer, StreamGuard};
+use crate::stream_state::StreamState;
+use crate::transport::Socket;
+use crate::write_queue::{StreamFrame, WriteQueue};
+
+/// A link to one host.
+pub(crate) struct Link {
+    pub(crate) peer: Name,
+    pub(crate) queue: WriteQueue,
+    pub(crate) closed: CancellationToken,
+    settings: Arc<MeshSettings>,
+    streams: Mutex<BTreeMap<u64, Arc<StreamState>>>,
+    next_stream: AtomicU64,
+    calls: Mutex<BTreeMap<u64, oneshot::Sender<PeerAnswer>>>,
+    next_call: AtomicU64,
+}
+
+impl Link {
+    pub(crate) fn new(peer: Name, role: Role, settings: Arc<MeshSettings>) -> Self {
+        let first_stream = match role {
+            Role::Dialler => 1,
+            Role::Listener => 2,
+        };
+        Self {
+            peer,
+            queue: WriteQueue::new(settings.max_queued_messages),
+            closed: CancellationToken::new(),
+            settings,
+            streams: Mutex::default(),
+            next_stream: AtomicU64::new(first_stream),
+            calls: Mutex::default(),
+            next_call: AtomicU64::new(1),
+        }
+    }
+
+    /// Runs the link until it breaks or is closed.
+    pub(crate) async fn run(self: &Arc<Self>, socket: Socket, inbox: &MeshInbox) -> LinkError {
+        let (sink, stream) = socket.split();
+        let error = tokio::select! {
+            error = self.write(sink) => error,
+            error = self.read(stream, inbox) => error,
+            () = self.closed.cancelled() => LinkError::Closed,
+        };
+        self.close();
+        error
+    }
+
+    /// Breaks all streams and calls.
+    pub(crate) fn close(&self) {
+        self.closed.cancel();
+        self.queue.close();
+        let streams = std::mem::take(&mut *self.streams.lock().expect("lock"));
+        for stream in streams.values() {
+            stream.break_off(Code::LinkBroke);
+        }
+        self.calls.lock().expect("lock").clear();
+    }
+
+    pub(crate) fn remove_stream(&self, id: u64) {
+        self.streams.lock().expect("lock").remove(&id);
+    }
+
+    /// Sends a call; the receiver fails when the link breaks.
+    pub(crate) fn call(&self, body: PeerCall) -> Option<(u64, oneshot::Receiver<PeerAnswer>)> {
+        let call_id = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let (answer, receiver) = oneshot::channel();
+        self.calls.lock().expect("lock").insert(call_id, answer);
+        if self.queue.push_message(LinkFrame::Peer(PeerMessage::Call { call_id, body })) {
+            Some((call_id, receiver))
+        } else {
+            self.forget_call(call_id);
+            None
+        }
+    }
+
+    pub(crate) fn forget_call(&self, call_id: u64) {
+        self.calls.lock().expect("lock").remove(&call_id);
+    }
+
+    /// Opens a stream, sends the body and waits for the head of the answer.
+    pub(crate) async fn open(
+        self: &Arc<Self>,
+        class: LinkClass,
+        head: ForwardHead,
+        body: Bytes,
+    ) -> Result<ForwardedAnswer, OpenError> {
+        let id = self.next_stream.fetch_add(2, Ordering::Relaxed);
+        let credit_bytes = self.settings.stream_credit_bytes;
+        let (answer_tx, answer_rx) = oneshot::channel();
+        let (state, inbound) = StreamState::new(id, class, 0, credit_bytes, Some(answer_tx));
+        let state = Arc::new(state);
+        self.streams.lock().expect("lock").insert(id, state.clone());
+        let guard = Arc::new(StreamGuard { link: self.clone(), state: state.clone() });
+        let frame = LinkFrame::Open { stream: id, class, head, credit_bytes };
+        let frame = StreamFrame { frame, written: Some(state.written.clone()) };
+        let failed = |code| OpenError {
+            host: self.peer.clone(),
+            code,
+            certainly_not_sent: !state.written.load(Ordering::Acquire),
+        };
+        if !self.queue.push_stream(class, id, frame) {
+            return Err(failed(Code::LinkBroke));
+        }
+        tokio::spawn(upload(BodySender::new(guard.clone()), body));
+        match answer_rx.await {
+            Ok(Ok(head)) => {
+                Ok(ForwardedAnswer { head, body: BodyReceiver::new(guard, inbound, credit_bytes) })
+            }
+            Ok(Err(code)) => Err(failed(code)),
+            Err(_) => Err(failed(Code::LinkBroke)),
+        }
+    }
+
+    async fn write(&self, mut sink: SplitSink<Socket, Message>) -> LinkError {
+        let mut ping = time::interval(Duration::from_millis(self.settings.ping_ms));
+        loop {
+            let result = match self.queue.pop() {
+                Some(frame) => sink.feed(Message::Binary(codec::encode(&frame))).await,
+                None => match sink.flush().await {
+                    Ok(()) => tokio::select! {
+                        () = self.queue.pushed() => continue,
+                        _ = ping.tick() => sink.send(Message::Ping(Bytes::new())).await,
+                    },
+                    Err(error) => Err(error),
+                },
+            };
+            if let Err(error) = result.context(WebSocketSnafu) {
+                return error;
+            }
+        }
+    }
+
+    async fn read(
+        self: &Arc<Self>,
+        mut stream: SplitStream<Socket>,
+        inbox: &MeshInbox,
+    ) -> LinkError {
+        let idle = Duration::from_millis(self.settings.idle_timeout_ms);
+        loop {
+            let message = match time::timeout(idle, stream.next()).await {
+                Err(_) => return LinkError::Idle,
+                Ok(None) => return LinkError::Closed,
+                Ok(Some(message)) => message,
+            };
+            let result = match message.context(WebSocketSnafu) {
+                Ok(Message::Binary(bytes)) => {
+                    codec::decode(&bytes).and_then(|frame| self.take(frame, inbox))
+                }
+                Ok(Message::Close(_)) => Err(LinkError::Closed),
+                Ok(_) => Ok(()),
+                Err(error) => Err(error),
+            };
+            if let Err(error) = result {
+                return error;
+            }
+        }
+    }
+
+    fn take(self: &Arc<Self>, frame: LinkFrame, inbox: &MeshInbox) -> Result<(), LinkError> {
+        match frame {
+            LinkFrame::Hello { .. } | LinkFrame::Proof { .. } => {
+                return Err(LinkError::Decode { reason: "a second hello or proof".to_owned() });
+            }
+            LinkFrame::Goodbye { .. } => return Err(LinkError::Closed),
+            LinkFrame::Peer(message) => self.take_message(message, inbox),
+            LinkFrame::Open { stream, class, head, credit_bytes } => {
+                self.take_open(stream, class, head, credit_bytes, inbox);
+            }
+            LinkFrame::Answer { stream, head } => {
+                self.with_stream(stream, |state| state.take_answer(head));
+            }
+            LinkFrame::Data { stream, payload, end } => {
+                self.with_stream(stream, |state| {
+                    if !state.take_data(Bytes::from(Vec::from(payload)), end) {
+                        self.reset(state, Code::MalformedRequest);
+                    }
+                });
+            }
+            LinkFrame::Credit { stream, bytes } => {
+                self.with_stream(stream, |state| state.add_credit(bytes));
+            }
+            LinkFrame::Reset { stream, code } => {
+                let code = Code::from_number(code).unwrap_or(Code::Internal);
+                self.with_stream(stream, |state| state.break_off(code));
+            }
+        }
+        Ok(())
+    }
+
+    fn with_stream(&self, id: u64, take: impl FnOnce(&Arc<StreamState>)) {
+        let state = self.streams.lock().expect("lock").get(&id).cloned();
+        if let Some(state) = state {
+            take(&state);
+        }
+    }
+
+    fn reset(&self, state: &StreamState, code: Code) {
+        let frame = LinkFrame::Reset { stream: state.id, code: code.number() };
+        self.queue.push_stream(state.class, state.id, frame);
+        state.break_off(code);
+    }
+
+    fn take_message(self: &Arc<Self>, message: PeerMessage, inbox: &MeshInbox) {
+        match message {
+            PeerMessage::Call { call_id, body } => {
+                let answer = (inbox.call)(self.peer.clone(), body);
+                let link = self.clone();
+                tokio::spawn(async move {
+                    let body = answer.await;
+                    let message = PeerMessage::CallAnswer { call_id, body };
+                    link.queue.push_message(LinkFrame::Peer(message));
+                });
+            }
+            PeerMessage::CallAnswer { call_id, body } => {
+                if let Some(answer) = self.calls.lock().expect("lock").remove(&call_id) {
+                    let _ = answer.send(body);
+                }
+            }
+            message => (inbox.message)(self.peer.clone(), message),
+        }
+    }
+
+    fn take_open(
+        self: &Arc<Self>,
+        id: u64,
+        class: LinkClass,
+        head: ForwardHead,
+        send_credit_bytes: u64,
+        inbox: &MeshInbox,
+    ) {
+        let credit_bytes = self.settings.stream_credit_bytes;
+        let (state, inbound) = StreamState::new(id, class, send_credit_bytes, credit_bytes, None);
+        let state = Arc::new(state);
+        self.streams.lock().expect("lock").insert(id, state.clone());
+        let guard = Arc::new(StreamGuard { link: self.clone(), state });
+        let stream = IncomingStream {
+            from: self.peer.clone(),
+            class,
+            head,
+            body: BodyReceiver::new(guard.clone(), inbound, credit_bytes),
+            answer: AnswerSender::new(guard),
+        };
+        let grant = LinkFrame::Credit { stream: id, bytes: credit_bytes };
+        self.queue.push_credit(grant);
+        tokio::spawn((inbox.open)(stream));
+    }
+}
+
+async fn upload(mut sender: BodySender, body: Bytes) {
+    if sender.send(body).await.is_ok() {
+        sender.finish();
+    }
+}
