Answer requests through the own region and through another

Cause: callers, upstreams and other regions had no way through a host. Ruled out: a ready-made proxy handler of salvo, since placement, attempts and links are the project's own work. Change: anvillift-gateway with listener, announcements, membership loop, directory, attempts at upstreams and over links; anvilliftd runs it. control/, commands/ and admission/ have their entry points; Gateway::apply_configuration puts a configuration in force.

--- a/crates/anvillift-daemon/src/main.rs
+++ b/crates/anvillift-daemon/src/main.rs
@@ -1,3 +1,66 @@
-//! The anvillift daemon.
+//! The anvillift daemon: loads its settings, runs one gateway, and stops as
+//! planned on SIGTERM or SIGINT.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anvillift_gateway::Gateway;
+use anvillift_schema::code::Code;
+use anvillift_schema::event::Event;
+use anvillift_schema::settings::HostSettings;
+use argh::FromArgs;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Runs one entry host of an anvillift system.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let settings = match anvillift_settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => return fail(Code::SettingsInvalid, &error),
+    };
+    if let Err(error) = anvillift_telemetry::log_init(&settings.log) {
+        return fail(Code::SettingsInvalid, &error);
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run(settings)),
+        Err(error) => fail(Code::Internal, &error),
+    }
+}
+
+async fn run(settings: HostSettings) -> ExitCode {
+    let mut terminate = match signal(SignalKind::terminate()) {
+        Ok(terminate) => terminate,
+        Err(error) => return fail(Code::Internal, &error),
+    };
+    let running = match Gateway::start(settings).await {
+        Ok(running) => running,
+        Err(error) => return fail(error.code(), &error),
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    running.drain().await;
+    ExitCode::SUCCESS
+}
+
+/// Prints an error with its causes, and gives the exit code of the daemon.
+fn fail(code: Code, error: &dyn std::error::Error) -> ExitCode {
+    let mut text = format!("anvilliftd: error {}: {error}", code.number());
+    let mut cause = error.source();
+    while let Some(next) = cause {
+        text += &format!(": {next}");
+        cause = next.source();
+    }
+    log::error!(event = Event::SettingsRefused.number(); "{text}");
+    eprintln!("{text}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/client.rs
@@ -0,0 +1,45 @@
+//! HTTP clients towards upstreams.
+
+use std::time::Duration;
+
+use reqwest::redirect;
+use reqwest::{Client, ClientBuilder};
+use snafu::ResultExt;
+
+use crate::error::{ClientSnafu, StartError};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+const MAX_IDLE_PER_UPSTREAM: usize = 1024;
+
+/// Clients that never retry or follow redirects by themselves.
+pub(crate) struct Clients {
+    /// For requests that may be repeated; keeps connections.
+    pub(crate) pooled: Client,
+    /// For commands; each has a connection of its own, so that none meets a
+    /// connection that the upstream is closing.
+    pub(crate) fresh: Client,
+}
+
+impl Clients {
+    pub(crate) fn new() -> Result<Self, StartError> {
+        let pooled = builder()
+            .pool_max_idle_per_host(MAX_IDLE_PER_UPSTREAM)
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT);
+        let fresh = builder().pool_max_idle_per_host(0);
+        Ok(Self {
+            pooled: pooled.build().context(ClientSnafu)?,
+            fresh: fresh.build().context(ClientSnafu)?,
+        })
+    }
+}
+
+fn builder() -> ClientBuilder {
+    Client::builder()
+        .http1_only()
+        .no_proxy()
+        .tcp_nodelay(true)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .redirect(redirect::Policy::none())
+        .retry(reqwest::retry::never())
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/forward/local.rs
@@ -0,0 +1,76 @@
+//! An attempt at an upstream of the own data centre.
+
+use std::sync::Arc;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::name::Name;
+use futures_util::StreamExt;
+use reqwest::{RequestBuilder, Response};
+use tokio::time;
+
+use super::failure::AttemptFailure;
+use crate::answer::{Answer, AnswerBody, AnswerStream};
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::request::Request;
+
+/// Sends a request to an upstream and waits for the head of the answer.
+pub(crate) async fn attempt(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    upstream: &Name,
+    attempt: &Name,
+) -> Result<Answer, AttemptFailure> {
+    let url = url(gateway, upstream).ok_or(AttemptFailure::not_run(Code::NoUpstream))?;
+    let outgoing = build(gateway, request, &url, attempt);
+    let deadline = gateway.clock.instant(request.deadline_ms);
+    let response = match time::timeout_at(deadline, outgoing.send()).await {
+        Err(_) => return Err(AttemptFailure::unknown(Code::UpstreamTimeout)),
+        Ok(Err(error)) if error.is_connect() || error.is_builder() => {
+            return Err(AttemptFailure::not_run(Code::UpstreamUnreachable));
+        }
+        Ok(Err(_)) => return Err(AttemptFailure::unknown(Code::UpstreamBroke)),
+        Ok(Ok(response)) => response,
+    };
+    let mut answer = to_answer(response);
+    answer.set_header(headers::ROUTE, &format!("{}>{upstream}", gateway.route_part()));
+    answer.set_header(headers::OUTCOME, "ran");
+    Ok(answer)
+}
+
+/// Base URL of an upstream that may still get new work.
+fn url(gateway: &Gateway, upstream: &Name) -> Option<String> {
+    let snapshot = gateway.snapshot.load();
+    let expiry_ms = gateway.settings.timing.upstream_expiry_ms;
+    let known = snapshot.upstream(upstream, gateway.now_ms(), expiry_ms)?;
+    Some(known.announcement.url.trim_end_matches('/').to_owned())
+}
+
+fn build(gateway: &Gateway, request: &Request, url: &str, attempt: &Name) -> RequestBuilder {
+    let clients = &gateway.clients;
+    let client = if request.is_command() { &clients.fresh } else { &clients.pooled };
+    let hops = hops(gateway, request);
+    client
+        .request(request.method.clone(), format!("{url}{}", request.path))
+        .headers(request.headers.clone())
+        .header(headers::ATTEMPT, attempt.as_str())
+        .header(headers::REQUEST_ID, request.id.as_str())
+        .header(headers::PRIORITY, request.profile.priority)
+        .header(headers::HOPS, hops)
+        .body(request.body.clone())
+}
+
+/// The visited hosts and regions, with this host and its region.
+fn hops(gateway: &Gateway, request: &Request) -> String {
+    let own = [gateway.host(), gateway.region()];
+    let all: Vec<&str> = request.hops.iter().chain(own).map(Name::as_str).collect();
+    all.join(",")
+}
+
+fn to_answer(response: Response) -> Answer {
+    let status = response.status();
+    let headers = headers::of_answer(response.headers());
+    let body = response.bytes_stream();
+    let body: AnswerStream = Box::pin(body.map(|item| item.map_err(|_| Code::UpstreamBroke)));
+    Answer { status, headers, body: AnswerBody::Stream(body) }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/forward/mod.rs
@@ -0,0 +1,85 @@
+//! From an admitted request to an answer.
+//!
+//! The router chooses a place; an attempt there either gives the head of an
+//! answer or fails, and then the retry hook of admission says whether another
+//! place is asked. Start at [`serve`].
+
+pub(crate) mod event_stream;
+pub(crate) mod failure;
+pub(crate) mod incoming;
+pub(crate) mod local;
+pub(crate) mod remote;
+mod under_way;
+
+use std::sync::Arc;
+
+use anvillift_routing::decide::Decision;
+use anvillift_schema::name::Name;
+use uuid::Uuid;
+
+use crate::admission;
+use crate::answer::Answer;
+use crate::gateway::Gateway;
+use crate::problem::Refusal;
+use crate::request::Request;
+use failure::AttemptFailure;
+use under_way::UnderWay;
+
+/// Serves a request: the answer of an upstream or a refusal.
+pub(crate) async fn serve(gateway: &Arc<Gateway>, request: Request) -> Answer {
+    match attempts(gateway, &request).await {
+        Ok(answer) => answer,
+        Err(refusal) => refusal.answer(Some(&request.id)),
+    }
+}
+
+async fn attempts(gateway: &Arc<Gateway>, request: &Request) -> Result<Answer, Refusal> {
+    admission::first_attempt(gateway, request);
+    let mut tried = Vec::new();
+    loop {
+        let mut facts = request.facts(gateway.now_ms());
+        facts.tried = tried.clone();
+        let decision = {
+            let mut router = gateway.router.lock().expect("lock");
+            router.route(gateway.now_ms(), &mut facts, &request.profile)
+        };
+        let (place, result) = attempt(gateway, request, decision).await?;
+        let failure = match result {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        log::debug!("attempt of {} at {place} failed: {failure}", request.id);
+        tried.push(place);
+        if !admission::may_retry(gateway, request, &failure, tried.len() as u32) {
+            return Err(failure.refusal());
+        }
+    }
+}
+
+async fn attempt(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    decision: Decision,
+) -> Result<(Name, Result<Answer, AttemptFailure>), Refusal> {
+    let id = attempt_id();
+    match decision {
+        Decision::Local { upstream } => {
+            let under_way = UnderWay::new(gateway, request, &upstream);
+            let result = local::attempt(gateway, request, &upstream, &id).await;
+            Ok((upstream, result.map(|answer| answer.holding(under_way))))
+        }
+        Decision::Forward { region, data_centre, host } => {
+            let under_way = UnderWay::new(gateway, request, &data_centre);
+            let target = remote::Target { region, data_centre: data_centre.clone(), host };
+            let result = remote::attempt(gateway, request, &target, &id).await;
+            Ok((data_centre, result.map(|answer| answer.holding(under_way))))
+        }
+        Decision::Refuse { code, retry_after_ms } => {
+            Err(Refusal::retry_after(code, retry_after_ms))
+        }
+    }
+}
+
+fn attempt_id() -> Name {
+    Name::from(Uuid::now_v7().to_string())
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/gateway.rs
@@ -0,0 +1,124 @@
+//! What the parts of a gateway share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+
+use anvillift_membership::members::Members;
+use anvillift_mesh::Mesh;
+use anvillift_routing::router::Router;
+use anvillift_schema::code::Code;
+use anvillift_schema::configuration::{Configuration, Profile, Service};
+use anvillift_schema::event::Event;
+use anvillift_schema::name::Name;
+use anvillift_schema::settings::HostSettings;
+use arc_swap::ArcSwap;
+
+use crate::admission::AdmissionState;
+use crate::client::Clients;
+use crate::clock::Clock;
+use crate::commands::Commands;
+use crate::control::Control;
+use crate::in_flight::InFlight;
+use crate::keys::TeamKeys;
+use crate::membership;
+use crate::problem::Refusal;
+use crate::snapshot::Snapshot;
+
+/// When a caller may come back to a host that cannot take it now, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// The state of one gateway.
+pub struct Gateway {
+    pub(crate) settings: HostSettings,
+    pub(crate) clock: Clock,
+    /// The configuration in force on this host; set by [`Self::apply_configuration`].
+    pub(crate) configuration: ArcSwap<Configuration>,
+    pub(crate) team_keys: ArcSwap<TeamKeys>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) router: Mutex<Router>,
+    pub(crate) mesh: OnceLock<Mesh>,
+    pub(crate) clients: Clients,
+    pub(crate) in_flight: InFlight,
+    pub(crate) admission: AdmissionState,
+    #[allow(dead_code)]
+    pub(crate) control: Control,
+    #[allow(dead_code)]
+    pub(crate) commands: Commands,
+    pub(crate) draining: AtomicBool,
+    pub(crate) ready: AtomicBool,
+}
+
+impl Gateway {
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Links to the other hosts.
+    pub(crate) fn mesh(&self) -> &Mesh {
+        self.mesh.get().expect("the mesh is set before requests are taken")
+    }
+
+    pub(crate) fn region(&self) -> &Name {
+        &self.settings.host.region
+    }
+
+    pub(crate) fn data_centre(&self) -> &Name {
+        &self.settings.host.data_centre
+    }
+
+    pub(crate) fn host(&self) -> &Name {
+        &self.settings.host.name
+    }
+
+    /// Puts a configuration in force on this host; it never goes back.
+    pub(crate) fn apply_configuration(self: &Arc<Self>, configuration: Configuration) -> bool {
+        if configuration.revision < self.configuration.load().revision {
+            return false;
+        }
+        let revision = configuration.revision;
+        self.team_keys.store(Arc::new(TeamKeys::new(&configuration)));
+        self.configuration.store(Arc::new(configuration));
+        self.members.lock().expect("lock").set_revision(revision);
+        membership::refresh(self);
+        log::info!(
+            event = Event::ConfigurationApplied.number(), revision = revision;
+            "configuration {revision} is applied"
+        );
+        true
+    }
+
+    /// A service and its profile.
+    pub(crate) fn service(&self, name: &str) -> Result<(Service, Arc<Profile>), Refusal> {
+        let configuration = self.configuration.load();
+        let service = configuration.services.get(name).ok_or(Code::UnknownService)?;
+        let profile = configuration.profiles.get(&service.profile).ok_or(Code::UnknownService)?;
+        Ok((service.clone(), Arc::new(profile.clone())))
+    }
+
+    /// Refuses while the host is starting or draining, with where to go.
+    pub(crate) fn check_open(&self) -> Result<(), Refusal> {
+        let code = if self.draining.load(Ordering::Acquire) {
+            Code::Draining
+        } else if !self.ready.load(Ordering::Acquire) {
+            Code::NotReady
+        } else {
+            return Ok(());
+        };
+        let hosts = self.other_hosts(None);
+        Err(Refusal { hosts, ..Refusal::retry_after(code, RETRY_AFTER_MS) })
+    }
+
+    /// Base URLs of other hosts that take requests of a profile.
+    pub(crate) fn other_hosts(&self, profile: Option<&Arc<Profile>>) -> Vec<String> {
+        let snapshot = self.snapshot.load();
+        let hosts = snapshot.usable_hosts(profile, self.region(), self.data_centre());
+        let others = hosts.iter().filter(|host| host.record.host != *self.host());
+        others.map(|host| host.record.caller_url.clone()).collect()
+    }
+
+    /// Region, data centre and host as they stand in a route.
+    pub(crate) fn route_part(&self) -> String {
+        format!("{}/{}/{}", self.region(), self.data_centre(), self.host())
+    }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/headers.rs
@@ -0,0 +1,99 @@
+//! Headers of anvillift, and which headers pass through.
+
+use anvillift_schema::link::Header;
+use salvo::http::HeaderMap;
+use salvo::http::header::{self, HeaderName, HeaderValue};
+
+pub(crate) const SERVICE: &str = "anvillift-service";
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub(crate) const HOME: &str = "anvillift-home";
+pub(crate) const DEADLINE_MS: &str = "anvillift-deadline-ms";
+pub(crate) const HOPS: &str = "anvillift-hops";
+pub(crate) const ROUTE: &str = "anvillift-route";
+pub(crate) const REQUEST_ID: &str = "anvillift-request-id";
+pub(crate) const OUTCOME: &str = "anvillift-outcome";
+/// Result code of an answer that is not an upstream's.
+pub(crate) const CODE: &str = "anvillift-code";
+pub(crate) const ATTEMPT: &str = "anvillift-attempt";
+pub(crate) const PRIORITY: &str = "anvillift-priority";
+
+const OWN_PREFIX: &str = "anvillift-";
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+    header::EXPECT,
+];
+
+/// Headers of a request that stay with this system.
+const NOT_FORWARDED: [HeaderName; 3] =
+    [header::AUTHORIZATION, header::CONTENT_LENGTH, header::ACCEPT_ENCODING];
+
+/// Headers of a caller's request that go to the upstream.
+pub(crate) fn of_request(headers: &HeaderMap) -> HeaderMap {
+    filter(headers, |name| !NOT_FORWARDED.contains(name) && !is_own(name))
+}
+
+/// Headers of an upstream's answer that go to the caller.
+pub(crate) fn of_answer(headers: &HeaderMap) -> HeaderMap {
+    filter(headers, |name| !is_own(name))
+}
+
+fn is_own(name: &HeaderName) -> bool {
+    name.as_str().starts_with(OWN_PREFIX)
+}
+
+fn filter(headers: &HeaderMap, keep: impl Fn(&HeaderName) -> bool) -> HeaderMap {
+    let named_in_connection: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let passes = |name: &HeaderName| {
+        !HOP_BY_HOP.contains(name)
+            && name.as_str() != "keep-alive"
+            && !named_in_connection.iter().any(|other| other == name.as_str())
+            && keep(name)
+    };
+    let kept = headers.iter().filter(|(name, _)| passes(name));
+    kept.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
+
+/// Text of a header.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// A header value of text, or none if the text does not fit in a header.
+pub(crate) fn value(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_str(text).ok()
+}
+
+/// Headers as they go over a link; values that are not text are left out.
+pub(crate) fn to_link(headers: &HeaderMap) -> Vec<Header> {
+    let text = |value: &HeaderValue| value.to_str().ok().map(str::to_owned);
+    headers
+        .iter()
+        .filter_map(|(name, value)| {
+            Some(Header { name: name.as_str().to_owned(), value: text(value)? })
+        })
+        .collect()
+}
+
+/// Headers that came over a link; malformed ones are left out.
+pub(crate) fn from_link(headers: &[Header]) -> HeaderMap {
+    let parse = |header: &Header| {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        Some((name, value(&header.value)?))
+    };
+    headers.iter().filter_map(parse).collect()
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/inbox.rs
@@ -0,0 +1,89 @@
+//! Where messages, calls and streams of other hosts go.
+
+use std::sync::{Arc, Weak};
+
+use anvillift_mesh::{IncomingStream, MeshInbox};
+use anvillift_schema::code::Code;
+use anvillift_schema::link::{PeerAnswer, PeerCall, PeerMessage};
+use anvillift_schema::name::Name;
+
+use crate::admission;
+use crate::commands;
+use crate::control;
+use crate::forward::incoming;
+use crate::gateway::Gateway;
+use crate::membership;
+
+/// When a refused host may call again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// The inbox of a gateway; it does not keep the gateway alive.
+pub(crate) fn of(gateway: &Weak<Gateway>) -> MeshInbox {
+    let for_messages = gateway.clone();
+    let for_calls = gateway.clone();
+    let for_streams = gateway.clone();
+    MeshInbox {
+        message: Arc::new(move |from, message| {
+            if let Some(gateway) = for_messages.upgrade() {
+                take_message(&gateway, from, message);
+            }
+        }),
+        call: Arc::new(move |from, call| {
+            let gateway = for_calls.upgrade();
+            Box::pin(async move {
+                match gateway {
+                    Some(gateway) => answer_call(&gateway, from, call).await,
+                    None => refused(Code::Draining),
+                }
+            })
+        }),
+        open: Arc::new(move |stream: IncomingStream| {
+            let gateway = for_streams.upgrade();
+            Box::pin(async move {
+                if let Some(gateway) = gateway {
+                    incoming::serve(&gateway, stream).await;
+                }
+            })
+        }),
+    }
+}
+
+fn take_message(gateway: &Arc<Gateway>, from: Name, message: PeerMessage) {
+    match message {
+        PeerMessage::Membership(message) => {
+            let now_ms = gateway.now_ms();
+            let outgoing = gateway.members.lock().expect("lock").receive(now_ms, &from, message);
+            membership::send(gateway, outgoing);
+        }
+        PeerMessage::Consensus(envelope) => {
+            if !control::take_consensus(gateway, &from, &envelope) {
+                commands::take_consensus(gateway, &from, envelope);
+            }
+        }
+        PeerMessage::ConfigurationRequest { after_revision } => {
+            control::take_request(gateway, &from, after_revision);
+        }
+        PeerMessage::ConfigurationUpdate(update) => control::take_update(gateway, &from, update),
+        PeerMessage::Call { .. } | PeerMessage::CallAnswer { .. } => {}
+    }
+}
+
+async fn answer_call(gateway: &Arc<Gateway>, from: Name, call: PeerCall) -> PeerAnswer {
+    match call {
+        PeerCall::Propose { group, command } => {
+            match control::propose(gateway, &group, &command).await {
+                Some(answer) => answer,
+                None => commands::propose(gateway, &group, &command).await,
+            }
+        }
+        PeerCall::LeaseTokens { team, requests_milli, tokens } => {
+            admission::lease(gateway, &from, &team, requests_milli, tokens)
+        }
+        PeerCall::DispatchOrder(order) => control::dispatch_order(gateway, order).await,
+    }
+}
+
+/// A refusal of a call.
+pub(crate) fn refused(code: Code) -> PeerAnswer {
+    PeerAnswer::Refused { code: code.number(), leader: None, retry_after_ms: RETRY_AFTER_MS }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -0,0 +1,167 @@
+//! The HTTP listener: which handler gets which path.
+
+use std::sync::Arc;
+
+use anvillift_schema::code::Code;
+use salvo::catcher::Catcher;
+use salvo::http::StatusCode;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Service, async_trait};
+
+use crate::answer::Answer;
+use crate::callers::ask::{self, Question};
+use crate::callers::{directory, report};
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::operators;
+use crate::problem::Refusal;
+use crate::upstreams;
+
+/// Path of chat completions, for callers that name the service in a header.
+const CHAT_PATH: &str = "/v1/chat/completions";
+const SERVICE_PREFIX: &str = "/s/";
+
+/// What an endpoint does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Endpoint {
+    Ask,
+    AskByHeader,
+    Directory,
+    Health,
+    Metrics,
+    Announce,
+    OperatorHosts,
+    OperatorUpstreams,
+    OperatorConfiguration,
+}
+
+struct EndpointHandler {
+    gateway: Arc<Gateway>,
+    endpoint: Endpoint,
+}
+
+/// All endpoints of a gateway.
+pub(crate) fn service(gateway: &Arc<Gateway>) -> Service {
+    let at = |endpoint| EndpointHandler { gateway: gateway.clone(), endpoint };
+    let operator = Router::with_path("v1/operator")
+        .push(Router::with_path("hosts").get(at(Endpoint::OperatorHosts)))
+        .push(Router::with_path("upstreams").get(at(Endpoint::OperatorUpstreams)))
+        .push(Router::with_path("configuration").get(at(Endpoint::OperatorConfiguration)));
+    let router = Router::new()
+        .push(Router::with_path("s/{service}/{**rest}").goal(at(Endpoint::Ask)))
+        .push(Router::with_path("v1/chat/completions").post(at(Endpoint::AskByHeader)))
+        .push(Router::with_path("v1/hosts").get(at(Endpoint::Directory)))
+        .push(Router::with_path("healthz").get(at(Endpoint::Health)))
+        .push(Router::with_path("metrics").get(at(Endpoint::Metrics)))
+        .push(Router::with_path("v1/upstreams/announce").post(at(Endpoint::Announce)))
+        .push(operator);
+    Service::new(router).catcher(Catcher::default().hoop(ProblemCatcher))
+}
+
+#[async_trait]
+impl Handler for EndpointHandler {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let answer = match self.run(request).await {
+            Ok(answer) => answer,
+            Err(refusal) => refusal.answer(None),
+        };
+        answer.write(response);
+    }
+}
+
+impl EndpointHandler {
+    async fn run(&self, request: &mut Request) -> Result<Answer, Refusal> {
+        let gateway = &self.gateway;
+        match self.endpoint {
+            Endpoint::Ask | Endpoint::AskByHeader => {
+                let question = self.question(request)?;
+                Ok(ask::answer(gateway, question).await)
+            }
+            Endpoint::Directory => {
+                directory::hosts(gateway, request.headers(), request.query("service"))
+            }
+            Endpoint::Health => Ok(report::health(gateway)),
+            Endpoint::Metrics => Ok(report::metrics(gateway)),
+            Endpoint::Announce => {
+                upstreams::check_key(gateway, request.headers())?;
+                let body = read(gateway, request, upstreams::MAX_ANNOUNCEMENT_BYTES).await?;
+                upstreams::announce(gateway, &body)
+            }
+            operator => {
+                operators::check_key(gateway, request.headers())?;
+                Ok(match operator {
+                    Endpoint::OperatorHosts => operators::hosts(gateway),
+                    Endpoint::OperatorUpstreams => operators::upstreams(gateway),
+                    _ => operators::configuration(gateway),
+                })
+            }
+        }
+    }
+
+    fn question(&self, request: &mut Request) -> Result<Question, Refusal> {
+        let uri = request.uri().clone();
+        let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+        let (service, path) = if self.endpoint == Endpoint::AskByHeader {
+            let service = headers::text(request.headers(), headers::SERVICE);
+            (service.ok_or_else(missing_service)?.to_owned(), CHAT_PATH.to_owned())
+        } else {
+            split(uri.path()).ok_or(Code::NotFound)?
+        };
+        Ok(Question {
+            service,
+            method: request.method().clone(),
+            path: path + &query,
+            headers: request.headers().clone(),
+            body: request.take_body(),
+        })
+    }
+}
+
+/// Service and path of `/s/{service}/{path}`, still percent-encoded.
+fn split(path: &str) -> Option<(String, String)> {
+    let (service, rest) = path.strip_prefix(SERVICE_PREFIX)?.split_once('/')?;
+    Some((service.to_owned(), format!("/{rest}")))
+}
+
+fn missing_service() -> Refusal {
+    Refusal::with_detail(Code::MalformedRequest, "the header Anvillift-Service is missing")
+}
+
+async fn read(
+    gateway: &Gateway,
+    request: &mut Request,
+    limit_bytes: u64,
+) -> Result<bytes::Bytes, Refusal> {
+    let expected_bytes = crate::callers::check_length(request.headers(), limit_bytes)?;
+    let timeout_ms = gateway.settings.limits.body_timeout_ms;
+    crate::callers::read_body(request.take_body(), expected_bytes, limit_bytes, timeout_ms).await
+}
+
+/// Gives salvo's own refusals the problem-details form.
+struct ProblemCatcher;
+
+#[async_trait]
+impl Handler for ProblemCatcher {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        flow: &mut FlowCtrl,
+    ) {
+        let code = match response.status_code {
+            Some(StatusCode::NOT_FOUND) => Code::NotFound,
+            Some(StatusCode::METHOD_NOT_ALLOWED) => Code::MethodNotAllowed,
+            Some(StatusCode::PAYLOAD_TOO_LARGE) => Code::BodyTooLarge,
+            Some(status) if status.is_client_error() => Code::MalformedRequest,
+            _ => Code::Internal,
+        };
+        Refusal::from(code).answer(None).write(response);
+        flow.skip_rest();
+    }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -0,0 +1,125 @@
+//! Heartbeats of this host, and the views that routing rests on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvillift_membership::members::Outgoing;
+use anvillift_membership::view::{DataCentreView, UpstreamView, View};
+use anvillift_routing::load_view::{DataCentreRoom, LoadView, UpstreamRoom};
+use anvillift_schema::configuration::{Profile, Service};
+use anvillift_schema::link::PeerMessage;
+use anvillift_schema::membership::HostState;
+use anvillift_schema::name::Name;
+use tokio::time;
+
+use crate::gateway::Gateway;
+use crate::placement;
+use crate::snapshot::Snapshot;
+
+/// Between two looks at what is due, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Ticks membership until the task is aborted.
+pub(crate) async fn run(gateway: Arc<Gateway>) {
+    let mut interval = time::interval(Duration::from_millis(TICK_MS));
+    loop {
+        interval.tick().await;
+        tick(&gateway);
+        refresh(&gateway);
+    }
+}
+
+/// Sends what is due.
+pub(crate) fn tick(gateway: &Arc<Gateway>) {
+    let outgoing = {
+        let mut members = gateway.members.lock().expect("lock");
+        members.set_in_flight(gateway.in_flight.count());
+        members.tick(gateway.now_ms())
+    };
+    send(gateway, outgoing);
+}
+
+/// Sends messages of membership.
+pub(crate) fn send(gateway: &Gateway, outgoing: Vec<Outgoing>) {
+    for Outgoing { to, message } in outgoing {
+        gateway.mesh().send(&to, PeerMessage::Membership(message));
+    }
+}
+
+/// Takes a newer view and gives it to the router.
+pub(crate) fn refresh(gateway: &Arc<Gateway>) {
+    let now_ms = gateway.now_ms();
+    let view = gateway.members.lock().expect("lock").view(now_ms);
+    let configuration = gateway.configuration.load_full();
+    let mut router = gateway.router.lock().expect("lock");
+    for service in configuration.services.values() {
+        if let Some(profile) = configuration.profiles.get(&service.profile) {
+            router.refresh(now_ms, &service.name, load_view(gateway, &view, service, profile));
+        }
+    }
+    drop(router);
+    gateway.snapshot.store(Arc::new(Snapshot { view, taken_ms: now_ms }));
+}
+
+fn load_view(gateway: &Gateway, view: &View, service: &Service, profile: &Profile) -> LoadView {
+    let upstreams = view.upstreams.values();
+    let upstreams = upstreams.filter(|known| known.announcement.service == service.name);
+    let linked = gateway.mesh.get().map(anvillift_mesh::Mesh::linked).unwrap_or_default();
+    let far = view.data_centres.values().filter(|known| {
+        let summary = &known.summary;
+        summary.data_centre != *gateway.data_centre()
+            && known.age_ms <= gateway.settings.timing.upstream_expiry_ms
+            && placement::allows(profile, &summary.region, &summary.data_centre)
+    });
+    LoadView {
+        region: gateway.region().clone(),
+        data_centre: gateway.data_centre().clone(),
+        upstreams: upstreams.map(upstream_room).collect(),
+        data_centres: far
+            .map(|known| data_centre_room(view, known, &service.name, &linked))
+            .collect(),
+        spilling: false,
+    }
+}
+
+fn upstream_room(known: &UpstreamView) -> UpstreamRoom {
+    let announcement = &known.announcement;
+    UpstreamRoom {
+        upstream: announcement.upstream.clone(),
+        models: announcement.models.clone(),
+        load: announcement.load.clone(),
+        load_age_ms: known.heard_age_ms,
+        sent_tokens: known.peer_sent_tokens,
+        ..UpstreamRoom::default()
+    }
+}
+
+fn data_centre_room(
+    view: &View,
+    known: &DataCentreView,
+    service: &Name,
+    linked: &[Name],
+) -> DataCentreRoom {
+    let summary = &known.summary;
+    let hosts = view.hosts.values().filter(|host| {
+        host.alive
+            && host.record.state == HostState::Ready
+            && host.record.data_centre == summary.data_centre
+            && linked.contains(&host.record.host)
+    });
+    let room = summary.services.iter().find(|room| room.service == *service);
+    let room = room.cloned().unwrap_or_default();
+    DataCentreRoom {
+        data_centre: summary.data_centre.clone(),
+        region: summary.region.clone(),
+        hosts: hosts.map(|host| host.record.host.clone()).collect(),
+        age_ms: known.age_ms,
+        upstreams: room.upstreams,
+        running_requests: room.running_requests,
+        free_slots: room.free_slots,
+        queued_tokens: room.queued_tokens,
+        token_rate_milli: room.token_rate_milli,
+        prefill_rate_tokens_per_s: room.prefill_rate_tokens_per_s,
+        ..DataCentreRoom::default()
+    }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/operators/mod.rs
@@ -0,0 +1,66 @@
+//! The side towards operators.
+
+use anvillift_membership::view::{HostView, UpstreamView};
+use anvillift_schema::membership::HostRecord;
+use anvillift_schema::public::UpstreamStatus;
+use salvo::http::HeaderMap;
+use serde::Serialize;
+
+use crate::answer::{self, Answer};
+use crate::gateway::Gateway;
+use crate::keys;
+use crate::problem::Refusal;
+
+/// A host as operators see it.
+#[derive(Debug, Serialize)]
+struct HostStatus<'a> {
+    record: &'a HostRecord,
+    heard_age_ms: u64,
+    alive: bool,
+}
+
+/// Checks the key of an operator.
+pub(crate) fn check_key(gateway: &Gateway, head: &HeaderMap) -> Result<(), Refusal> {
+    keys::check(head, &gateway.settings.keys.operator_key_hashes)
+}
+
+/// All hosts known.
+pub(crate) fn hosts(gateway: &Gateway) -> Answer {
+    let snapshot = gateway.snapshot.load();
+    let status = |host: &'_ HostView| -> (u64, bool) { (host.heard_age_ms, host.alive) };
+    let hosts: Vec<HostStatus<'_>> = snapshot
+        .view
+        .hosts
+        .values()
+        .map(|host| {
+            let (heard_age_ms, alive) = status(host);
+            HostStatus { record: &host.record, heard_age_ms, alive }
+        })
+        .collect();
+    answer::json(&hosts)
+}
+
+/// Upstreams of the own data centre.
+pub(crate) fn upstreams(gateway: &Gateway) -> Answer {
+    let snapshot = gateway.snapshot.load();
+    let status = |known: &UpstreamView| {
+        let announcement = &known.announcement;
+        UpstreamStatus {
+            upstream: announcement.upstream.clone(),
+            service: announcement.service.clone(),
+            data_centre: gateway.data_centre().clone(),
+            url: announcement.url.clone(),
+            heard_age_ms: known.heard_age_ms,
+            leaving: announcement.leaving,
+            running_requests: announcement.load.running_requests,
+            queued_tokens: announcement.load.queued_tokens,
+        }
+    };
+    let upstreams: Vec<UpstreamStatus> = snapshot.view.upstreams.values().map(status).collect();
+    answer::json(&upstreams)
+}
+
+/// The configuration in force on this host.
+pub(crate) fn configuration(gateway: &Gateway) -> Answer {
+    answer::json(&**gateway.configuration.load())
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/start.rs
@@ -0,0 +1,140 @@
+//! Starting a gateway.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvillift_membership::members::{Members, MembersSettings};
+use anvillift_mesh::{Mesh, MeshSettings};
+use anvillift_routing::router::{Router, RouterSettings};
+use anvillift_schema::event::Event;
+use anvillift_schema::membership::HostState;
+use anvillift_schema::settings::HostSettings;
+use arc_swap::ArcSwap;
+use salvo::Server;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+
+use crate::admission::AdmissionState;
+use crate::client::Clients;
+use crate::clock::Clock;
+use crate::commands::{self, Commands};
+use crate::control::{self, Control};
+use crate::error::{ListenSnafu, MeshSnafu, StartError};
+use crate::gateway::Gateway;
+use crate::in_flight::InFlight;
+use crate::inbox;
+use crate::keys::TeamKeys;
+use crate::listener;
+use crate::membership;
+use crate::running::RunningGateway;
+use crate::snapshot::Snapshot;
+
+impl Gateway {
+    /// Starts a gateway on the addresses of its settings.
+    pub async fn start(settings: HostSettings) -> Result<RunningGateway, StartError> {
+        let address = settings.listen.callers.clone();
+        let listener =
+            TcpListener::bind(&address).await.context(ListenSnafu { address: address.clone() })?;
+        let caller_addr = listener.local_addr().context(ListenSnafu { address })?;
+        let caller_url = match settings.listen.caller_url.as_str() {
+            "" => format!("http://{caller_addr}"),
+            url => url.to_owned(),
+        };
+        let gateway = Arc::new(build(settings, caller_url)?);
+        let mesh_settings = mesh_settings(&gateway);
+        let mesh = Mesh::start(mesh_settings, inbox::of(&Arc::downgrade(&gateway)))
+            .await
+            .context(MeshSnafu)?;
+        let link_addr = mesh.address();
+        let _ = gateway.mesh.set(mesh);
+        control::start(&gateway).await;
+        commands::start(&gateway).await;
+        set_ready(&gateway);
+        membership::refresh(&gateway);
+        let membership = tokio::spawn(membership::run(gateway.clone()));
+        let acceptor = TcpAcceptor::try_from(listener)
+            .context(ListenSnafu { address: caller_addr.to_string() })?;
+        let server = server(&gateway, acceptor);
+        let handle = server.handle();
+        let service = listener::service(&gateway);
+        let serving = tokio::spawn(async move {
+            if let Err(error) = server.try_serve(service).await {
+                log::error!("the listener failed: {error}");
+            }
+        });
+        log::info!(event = Event::HostStarted.number(); "listening on {caller_addr}");
+        let tasks = vec![membership, serving];
+        Ok(RunningGateway { caller_addr, link_addr, gateway, server: handle, tasks })
+    }
+}
+
+fn build(settings: HostSettings, caller_url: String) -> Result<Gateway, StartError> {
+    let incarnation = unix_ms();
+    let members = MembersSettings {
+        identity: settings.host.clone(),
+        peers: settings.peers.clone(),
+        caller_url,
+        incarnation,
+        storage_id: None,
+        heartbeat_ms: settings.timing.heartbeat_ms,
+        silent_after_ms: settings.timing.silent_after_ms,
+        upstream_expiry_ms: settings.timing.upstream_expiry_ms,
+    };
+    let configuration = settings.configuration.clone();
+    Ok(Gateway {
+        clock: Clock::new(),
+        team_keys: ArcSwap::from_pointee(TeamKeys::new(&configuration)),
+        configuration: ArcSwap::from_pointee(configuration),
+        members: Mutex::new(Members::new(members, incarnation)),
+        snapshot: ArcSwap::from_pointee(Snapshot::default()),
+        router: Mutex::new(Router::new(RouterSettings {
+            seed: incarnation,
+            ..RouterSettings::default()
+        })),
+        mesh: OnceLock::new(),
+        clients: Clients::new()?,
+        in_flight: InFlight::new(),
+        admission: AdmissionState::new(&settings.limits),
+        control: Control::default(),
+        commands: Commands::default(),
+        draining: AtomicBool::new(false),
+        ready: AtomicBool::new(false),
+        settings,
+    })
+}
+
+fn mesh_settings(gateway: &Gateway) -> MeshSettings {
+    let settings = &gateway.settings;
+    MeshSettings {
+        identity: settings.host.clone(),
+        incarnation: unix_ms(),
+        peers: settings.peers.clone(),
+        link_key: settings.keys.link_key.clone(),
+        tls: settings.tls.clone().filter(|tls| tls.links),
+        listen: settings.listen.links.clone(),
+        stream_credit_bytes: settings.limits.stream_credit_bytes,
+        ..MeshSettings::default()
+    }
+}
+
+/// Marks the host ready to take requests.
+pub(crate) fn set_ready(gateway: &Arc<Gateway>) {
+    gateway.ready.store(true, std::sync::atomic::Ordering::Release);
+    gateway.members.lock().expect("lock").set_state(HostState::Ready);
+    log::info!(event = Event::HostReady.number(); "ready");
+}
+
+fn server(gateway: &Gateway, acceptor: TcpAcceptor) -> Server<TcpAcceptor> {
+    let limits = &gateway.settings.limits;
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(Duration::from_millis(limits.header_timeout_ms));
+    Server::new(acceptor).fuse_config(fuse)
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/upstreams/mod.rs
@@ -0,0 +1,67 @@
+//! The side towards upstreams: they announce themselves here.
+
+use std::sync::Arc;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::event::Event;
+use anvillift_schema::upstream::{Announcement, AnnouncementReply};
+use salvo::http::HeaderMap;
+
+use crate::answer::{self, Answer};
+use crate::gateway::Gateway;
+use crate::keys;
+use crate::membership;
+use crate::problem::Refusal;
+
+/// Largest announcement, in bytes.
+pub(crate) const MAX_ANNOUNCEMENT_BYTES: u64 = 1024 * 1024;
+/// Announcements that fit in the time after which an upstream is dropped.
+const ANNOUNCEMENTS_PER_EXPIRY: u64 = 4;
+
+/// Checks the key before the body is read.
+pub(crate) fn check_key(gateway: &Gateway, head: &HeaderMap) -> Result<(), Refusal> {
+    keys::check(head, &gateway.settings.keys.upstream_key_hashes)
+}
+
+/// Takes an announcement.
+pub(crate) fn announce(gateway: &Arc<Gateway>, body: &[u8]) -> Result<Answer, Refusal> {
+    let malformed = |text: String| Refusal::with_detail(Code::MalformedRequest, text);
+    let announcement: Announcement =
+        serde_json::from_slice(body).map_err(|error| malformed(error.to_string()))?;
+    reqwest::Url::parse(&announcement.url).map_err(|error| malformed(format!("url: {error}")))?;
+    let now_ms = gateway.now_ms();
+    let known = gateway.snapshot.load().view.upstreams.contains_key(&announcement.upstream);
+    let (upstream, leaving) = (announcement.upstream.clone(), announcement.leaving);
+    let (incarnation, events) = (announcement.incarnation, announcement.cache_events.clone());
+    let accepted = gateway.members.lock().expect("lock").announce(now_ms, announcement);
+    if accepted {
+        let mut router = gateway.router.lock().expect("lock");
+        router.cache_events(now_ms, &upstream, incarnation, &events);
+        drop(router);
+        log_change(&upstream, known, leaving);
+        if leaving || !known {
+            membership::refresh(gateway);
+            membership::tick(gateway);
+        }
+    }
+    Ok(answer::json(&reply(gateway, accepted)))
+}
+
+fn log_change(upstream: &str, known: bool, leaving: bool) {
+    if leaving {
+        log::info!(event = Event::UpstreamLeft.number(); "upstream {upstream} left");
+    } else if !known {
+        log::info!(event = Event::UpstreamFound.number(); "upstream {upstream} announced itself");
+    }
+}
+
+fn reply(gateway: &Gateway, accepted: bool) -> AnnouncementReply {
+    let snapshot = gateway.snapshot.load();
+    let hosts = snapshot.usable_hosts(None, gateway.region(), gateway.data_centre());
+    let near = hosts.iter().filter(|host| host.record.data_centre == *gateway.data_centre());
+    AnnouncementReply {
+        accepted,
+        hosts: near.map(|host| host.record.caller_url.clone()).collect(),
+        next_within_ms: gateway.settings.timing.upstream_expiry_ms / ANNOUNCEMENTS_PER_EXPIRY,
+    }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the gateway, with real sockets and fake upstreams.
+
+mod cluster;
+mod fake_upstream;
+mod leaving;
+mod thin_path;
+mod wait;
