Add the data folder with a checksummed log

Cause: accepted state must last on the few disks, through crashes, full disks, failed syncs and damaged sectors. Ruled out: one frame an entry (a good frame after a bad one would not prove that the bad one had been synced); a checksum without the storage id (a command could carry the image of a frame). Harness of the log core also checks what is told in vote responses, durability on a majority and the term of commitments.

--- a/crates/anvillift-consensus/tests/testsuite/harness/checks.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/checks.rs
@@ -1,17 +1,46 @@
 //! What must hold at every moment of a schedule.
 
 use anvillift_consensus::{AnswerError, RoleKind};
-use anvillift_schema::consensus::{EntryBody, Vote, Voter};
+use anvillift_schema::consensus::{
+    ConsensusEnvelope, ConsensusMessage, Entry, EntryBody, Vote, Voter, VoterSet,
+};
 use anvillift_schema::name::Name;
 
 use super::Cluster;
 
 impl Cluster {
     pub(super) fn check_vote(&mut self, name: &Name, vote: &Vote) {
-        let Some(candidate) = &vote.voted_for else { return };
+        if let Some(candidate) = &vote.voted_for {
+            self.note_vote(name, vote.term, candidate);
+        }
+    }
+
+    /// What counts is what was told, whether it was saved or not.
+    pub(super) fn check_granted(&mut self, name: &Name, to: &Name, envelope: &ConsensusEnvelope) {
+        if let ConsensusMessage::VoteResponse { term, pre_vote: false, granted: true } =
+            envelope.message
+        {
+            let storage_id = envelope.to_storage_id.clone();
+            self.note_vote(name, term, &Voter { host: to.clone(), storage_id });
+        }
+    }
+
+    fn note_vote(&mut self, name: &Name, term: u64, candidate: &Voter) {
         let storage_id = self.nodes[name].storage_id.clone();
-        let first = self.votes.entry((storage_id, vote.term)).or_insert(candidate.clone());
-        assert_eq!(first, candidate, "{name} voted twice in term {}", vote.term);
+        let first = self.votes.entry((storage_id, term)).or_insert(candidate.clone());
+        assert_eq!(first, candidate, "{name} voted twice in term {term}");
+    }
+
+    /// A committed entry is durable on a majority, while no disk was lost.
+    fn check_durable(&self, entry: &Entry, voters: &VoterSet) {
+        let holds = |voter: &&Voter| {
+            let disk = &self.nodes[&voter.host].durable;
+            let covered =
+                disk.snapshot.as_ref().is_some_and(|snapshot| snapshot.meta.index >= entry.index);
+            covered || disk.entries.contains(entry)
+        };
+        let durable = voters.voters.iter().filter(holds).count();
+        assert!(durable > voters.voters.len() / 2, "{} is committed but lost", entry.index);
     }
 
     pub(super) fn check_answer(&mut self, request_id: u64, result: Result<u64, AnswerError>) {
@@ -30,17 +59,26 @@
         let node = self.nodes.get_mut(name).unwrap();
         let Some(replica) = &node.replica else { return };
         let status = replica.status();
-        for index in node.checked_index + 1..=status.commit_index {
-            if let Some(entry) = replica.entry(index) {
-                let first = self.committed.entry(index).or_insert_with(|| entry.clone());
-                assert_eq!(first, entry, "{name} commits otherwise");
+        let range = node.checked_index + 1..=status.commit_index;
+        let entries: Vec<Entry> = range.filter_map(|index| replica.entry(index)).cloned().collect();
+        node.checked_index = status.commit_index;
+        let storage_id = node.storage_id.clone();
+        let whole = self.is_whole();
+        let newest = entries.last().filter(|entry| !self.committed.contains_key(&entry.index));
+        if let (RoleKind::Leader, Some(newest)) = (status.role, newest) {
+            assert_eq!(newest.term, status.term, "{name} committed by counting an older term");
+        }
+        for entry in entries {
+            if whole && !self.committed.contains_key(&entry.index) {
+                self.check_durable(&entry, &status.voters);
             }
+            let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+            assert_eq!(*first, entry, "{name} commits otherwise");
         }
-        node.checked_index = status.commit_index;
         if status.role != RoleKind::Leader {
             return;
         }
-        let identity = Voter { host: name.clone(), storage_id: node.storage_id.clone() };
+        let identity = Voter { host: name.clone(), storage_id };
         if let Some(first) = self.leaders.get(&status.term) {
             assert_eq!(*first, identity, "two leaders in term {}", status.term);
             return;
--- a/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
@@ -250,6 +250,7 @@
             }),
             Effect::RefetchDone => self.write(name, |disk| disk.refetch_upto = None),
             Effect::Send { to, envelope } => {
+                self.check_granted(name, &to, &envelope);
                 let lost = self.rng.random_range(0..100) < self.loss_percent;
                 if !lost && self.pending.len() < MAX_PENDING {
                     self.pending.push(Pending { from: name.clone(), to, envelope });
--- /dev/null
+++ b/crates/anvillift-storage/src/folder.rs
@@ -0,0 +1,85 @@
+//! The data folder of a host.
+
+use std::fs;
+use std::fs::{File, TryLockError};
+use std::path::{Path, PathBuf};
+
+use anvillift_schema::name::Name;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::error::{DamagedSnafu, FileSnafu, InUseSnafu, StorageError};
+use crate::file;
+use crate::frame::Framing;
+use crate::group::GroupStorage;
+use crate::io::Io;
+use crate::recovery::RecoveredGroup;
+
+const IDENTITY_FILE: &str = "identity";
+const LOCK_FILE: &str = "lock";
+const GROUPS_FOLDER: &str = "groups";
+
+#[derive(Deserialize, Serialize)]
+struct IdentityRecord {
+    storage_id: Name,
+}
+
+/// A formatted data folder, used by this process alone.
+#[derive(Debug)]
+pub struct DataFolder {
+    path: PathBuf,
+    storage_id: Name,
+    _lock: File,
+}
+
+impl DataFolder {
+    /// Opens a folder; an empty one is formatted, which draws its storage id.
+    pub fn open(path: &Path) -> Result<Self, StorageError> {
+        fs::create_dir_all(path).context(FileSnafu { path })?;
+        let lock = lock(path)?;
+        let framing = Framing::new(Name::default());
+        let identity_path = path.join(IDENTITY_FILE);
+        let record: Option<IdentityRecord> = file::read(&framing, &identity_path)?;
+        let groups_path = path.join(GROUPS_FOLDER);
+        let storage_id = match record {
+            Some(record) => record.storage_id,
+            // Groups without an identity are no new folder.
+            None if groups_path.exists() => {
+                return DamagedSnafu { path: identity_path }.fail();
+            }
+            None => {
+                let storage_id = Name::from(uuid::Uuid::new_v4().to_string());
+                let record = IdentityRecord { storage_id: storage_id.clone() };
+                file::replace(&mut Io::default(), &framing, &identity_path, &record)?;
+                storage_id
+            }
+        };
+        Ok(Self { path: path.to_owned(), storage_id, _lock: lock })
+    }
+
+    /// Id drawn when the folder was formatted.
+    pub fn storage_id(&self) -> &Name {
+        &self.storage_id
+    }
+
+    /// Opens the storage of a group and reads what it holds.
+    pub fn open_group(
+        &self,
+        group: &Name,
+        io: Io,
+    ) -> Result<(GroupStorage, RecoveredGroup), StorageError> {
+        let folder = self.path.join(GROUPS_FOLDER).join(group.as_str());
+        fs::create_dir_all(&folder).context(FileSnafu { path: &folder })?;
+        GroupStorage::open(folder, Framing::new(self.storage_id.clone()), io)
+    }
+}
+
+fn lock(folder: &Path) -> Result<File, StorageError> {
+    let path = folder.join(LOCK_FILE);
+    let file = File::create(&path).context(FileSnafu { path: &path })?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => InUseSnafu { path: folder }.fail(),
+        Err(TryLockError::Error(source)) => Err(source).context(FileSnafu { path }),
+    }
+}
