Add open-loop load, experiment files and a relay between hosts

Cause: policies can be compared only under the same seeded load, with the delay and width of the links between regions. Ruled out: closed-loop clients, whose late answers lower the load; a rate set by hand, which says nothing of capacity: it is worked out from the workers' speeds and the classes' sizes, and the file gives the load against it. Change: `load` reads an experiment, draws a plan from a seed and drives it at its times; `fleet::relay` delays and narrows.

--- a/crates/anvillift-bench/src/engine/cache.rs
+++ b/crates/anvillift-bench/src/engine/cache.rs
@@ -6,8 +6,10 @@
 
 use std::collections::BTreeMap;
 
+use anvillift_routing::prefix::{BLOCK_BYTES, BYTES_PER_TOKEN};
+
 /// Tokens of one block.
-pub const BLOCK_TOKENS: u64 = 256;
+pub const BLOCK_TOKENS: u64 = BLOCK_BYTES as u64 / BYTES_PER_TOKEN;
 
 /// A change of the cache.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/anvillift-bench/src/engine/prompt.rs
+++ b/crates/anvillift-bench/src/engine/prompt.rs
@@ -1,11 +1,8 @@
 //! What a chat-completions request asks for, as the engine sees it.
 
+use anvillift_routing::prefix::{self, BYTES_PER_TOKEN};
 use serde::Deserialize;
 
-/// Length of a prefix block.
-const BLOCK_BYTES: usize = 1024;
-/// Bytes of text that make a token.
-const TOKEN_BYTES: usize = 4;
 const WORDS: [&str; 16] = [
     "soil", "water", "turn", "wash", "dry", "rack", "field", "valve", "melon", "brine", "wheel",
     "hour", "night", "north", "deep", "slow",
@@ -42,33 +39,25 @@
     pub tokens: u64,
     /// Prefix blocks, shortest prefix first.
     pub blocks: Vec<u64>,
-    digest: u64,
+    seed: u64,
 }
 
 impl Prompt {
     /// Reads the messages of a request.
     pub fn new(messages: &[ChatMessage]) -> Self {
         let text: String = messages.iter().map(|message| message.content.as_str()).collect();
-        let mut hasher = blake3::Hasher::new();
-        let mut blocks = Vec::new();
-        let mut chunks = text.as_bytes().chunks_exact(BLOCK_BYTES);
-        for chunk in &mut chunks {
-            hasher.update(chunk);
-            blocks.push(leading_u64(&hasher));
+        let digest = blake3::hash(text.as_bytes());
+        let seed = digest.as_bytes()[..8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte));
+        Self {
+            tokens: (text.len() as u64).div_ceil(BYTES_PER_TOKEN),
+            blocks: prefix::blocks(&text),
+            seed,
         }
-        hasher.update(chunks.remainder());
-        let tokens = text.len().div_ceil(TOKEN_BYTES) as u64;
-        Self { tokens, blocks, digest: leading_u64(&hasher) }
     }
 
     /// Token `index` of the answer; the same for the same prompt on every engine.
     pub fn word(&self, index: u32) -> &'static str {
-        let mixed = self.digest.rotate_left(index % 61).wrapping_add(u64::from(index) * 7);
+        let mixed = self.seed.rotate_left(index % 61).wrapping_add(u64::from(index) * 7);
         WORDS[(mixed % WORDS.len() as u64) as usize]
     }
 }
-
-fn leading_u64(hasher: &blake3::Hasher) -> u64 {
-    let digest = hasher.finalize();
-    digest.as_bytes()[..8].iter().fold(0, |value, byte| value << 8 | u64::from(*byte))
-}
--- a/crates/anvillift-bench/src/error.rs
+++ b/crates/anvillift-bench/src/error.rs
@@ -20,4 +20,44 @@
         /// Cause.
         source: reqwest::Error,
     },
+    /// An experiment file is wrong.
+    #[snafu(display("{file}: {message}"))]
+    Experiment {
+        /// File.
+        file: String,
+        /// What is wrong, with section and key.
+        message: String,
+    },
+    /// A result could not be written.
+    #[snafu(display("cannot write {path}"))]
+    Write {
+        /// File.
+        path: String,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A plot could not be drawn.
+    #[snafu(display("cannot draw {path}: {message}"))]
+    Plot {
+        /// File.
+        path: String,
+        /// Cause.
+        message: String,
+    },
+    /// A host did not start.
+    #[snafu(display("cannot start host {host}: {message}"))]
+    Host {
+        /// Host.
+        host: String,
+        /// Cause.
+        message: String,
+    },
+    /// Something did not come to be in time.
+    #[snafu(display("{what} not within {limit_ms} ms"))]
+    Late {
+        /// What was waited for.
+        what: String,
+        /// How long.
+        limit_ms: u64,
+    },
 }
--- /dev/null
+++ b/crates/anvillift-bench/src/fleet/mod.rs
@@ -0,0 +1,3 @@
+//! Entry hosts of several regions in one process, with relays between them.
+
+pub mod relay;
--- a/crates/anvillift-bench/src/lib.rs
+++ b/crates/anvillift-bench/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod announce;
 pub mod engine;
 pub mod error;
+pub mod fleet;
 pub mod listener;
+pub mod load;
 pub mod plain;
