--- a/crates/anvillift-bench/src/error.rs
+++ b/crates/anvillift-bench/src/error.rs
@@ -53,7 +53,7 @@
         message: String,
     },
     /// Something did not come to be in time.
-    #[snafu(display("{what} not within {limit_ms} ms"))]
+    #[snafu(display("{what} after {limit_ms} ms"))]
     Late {
         /// What was waited for.
         what: String,
