--- a/crates/anvillift-bench/src/load/caller.rs
+++ b/crates/anvillift-bench/src/load/caller.rs
@@ -72,6 +72,7 @@
                 .client
                 .request(Method::POST, url(format!("pivots/{pivot}/stop")))
                 .header("Idempotency-Key", Uuid::now_v7().to_string())
+                .header("Anvillift-Home", arrival.region.as_str())
                 .json(&json!({ "number": arrival.number })),
             ClassKind::Reading => self.client.get(url(format!("pivots/{pivot}"))),
         };
--- a/crates/anvillift-bench/src/trial/stage.rs
+++ b/crates/anvillift-bench/src/trial/stage.rs
@@ -57,12 +57,8 @@
             ..FleetSettings::default()
         })
         .await?;
-        let mut stage = Self {
-            fleet,
-            engines: Vec::new(),
-            plains: Vec::new(),
-            gone: EngineTotals::default(),
-        };
+        let mut stage =
+            Self { fleet, engines: Vec::new(), plains: Vec::new(), gone: EngineTotals::default() };
         let mut counts: BTreeMap<Name, usize> = BTreeMap::new();
         for workers in &experiment.workers {
             *counts.entry(workers.region.clone()).or_default() += workers.count as usize;
