Count requests against team limits and retries against a budget

Cause: the gateway admitted any team without limit and retried each failure. Change: slots, team limits with leases from the rendezvous owner, one retry budget a service, priority by size of the request, cache events taken from membership so that those of peers count too. Before: with the budget not spent, 1,200 attempts of 400 requests when every attempt fails (test admission::retries_stay_within_the_budget_when_every_attempt_fails). After: within 450. A flooding team gets its limit over two hosts (3 s flood). The flood test does not notice a silent owner's share.

--- a/crates/anvillift-gateway/src/admission/mod.rs
+++ b/crates/anvillift-gateway/src/admission/mod.rs
@@ -1,49 +1,47 @@
 //! Whether a request enters, and whether a failed attempt is tried again.
+//!
+//! The host that the caller asked takes a slot ([`slots`]) and counts the
+//! request against its team's limit ([`teams`]); a host that it is handed to
+//! takes only a slot. Retries spend from the budget of the service
+//! ([`retries`]).
+
+mod retries;
+mod slots;
+mod teams;
 
 use std::sync::{Arc, Mutex};
 
-use anvillift_routing::admission::{Admission, AdmissionSettings, Ticket};
+use anvillift_routing::admission::{Admission, AdmissionSettings};
 use anvillift_routing::request::RequestFacts;
-use anvillift_schema::code::Code;
-use anvillift_schema::link::PeerAnswer;
+use anvillift_routing::team_limit::TeamLimiter;
 use anvillift_schema::name::Name;
 use anvillift_schema::settings::LimitSettings;
 
-use crate::forward::failure::AttemptFailure;
+pub(crate) use retries::{first_attempt, may_retry};
+pub(crate) use slots::AdmissionGuard;
+pub(crate) use teams::lease;
+
 use crate::gateway::Gateway;
-use crate::inbox;
 use crate::problem::Refusal;
-use crate::request::Request;
-
-/// Attempts of one request at most.
-const MAX_ATTEMPTS: u32 = 3;
 
 /// Admission's part of a gateway.
 #[derive(Debug)]
 pub(crate) struct AdmissionState {
     admission: Mutex<Admission>,
+    teams: Mutex<TeamLimiter>,
+    budgets: Mutex<retries::Budgets>,
 }
 
 impl AdmissionState {
-    pub(crate) fn new(limits: &LimitSettings) -> Self {
+    pub(crate) fn new(host: &Name, limits: &LimitSettings) -> Self {
         let settings = AdmissionSettings {
             max_in_flight_requests: limits.max_in_flight_requests,
             ..AdmissionSettings::default()
         };
-        Self { admission: Mutex::new(Admission::new(settings)) }
-    }
-}
-
-/// An admitted request; dropped when its answer has ended.
-pub(crate) struct AdmissionGuard {
-    gateway: Arc<Gateway>,
-    ticket: Option<Ticket>,
-}
-
-impl Drop for AdmissionGuard {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.gateway.admission.admission.lock().expect("lock").release(ticket);
+        Self {
+            admission: Mutex::new(Admission::new(settings)),
+            teams: Mutex::new(TeamLimiter::new(host.clone())),
+            budgets: Mutex::default(),
         }
     }
 }
@@ -53,35 +51,9 @@
     gateway: &Arc<Gateway>,
     facts: &RequestFacts,
 ) -> Result<AdmissionGuard, Refusal> {
-    let admitted = gateway.admission.admission.lock().expect("lock").admit(facts);
-    match admitted {
-        Ok(ticket) => Ok(AdmissionGuard { gateway: gateway.clone(), ticket: Some(ticket) }),
-        Err(refusal) => Err(Refusal::retry_after(refusal.code, refusal.retry_after_ms)),
+    let slot = slots::take(gateway, facts)?;
+    if !facts.forwarded {
+        teams::count(gateway, facts).await?;
     }
-}
-
-/// Counts a first attempt.
-pub(crate) fn first_attempt(_gateway: &Gateway, _request: &Request) {}
-
-/// Whether a failed attempt may be followed by another. Only the host that
-/// the caller asked tries again.
-pub(crate) fn may_retry(
-    _gateway: &Gateway,
-    request: &Request,
-    failure: &AttemptFailure,
-    attempts: u32,
-) -> bool {
-    let harmless = failure.is_not_run() || request.is_repeatable();
-    harmless && !request.forwarded && attempts < MAX_ATTEMPTS
-}
-
-/// Leases tokens of a team to another host of the data centre.
-pub(crate) fn lease(
-    _gateway: &Gateway,
-    _from: &Name,
-    _team: &Name,
-    _requests_milli: u64,
-    _tokens: u64,
-) -> PeerAnswer {
-    inbox::refused(Code::NotReady)
+    Ok(slot)
 }
--- /dev/null
+++ b/crates/anvillift-gateway/src/admission/retries.rs
@@ -0,0 +1,47 @@
+//! Retries, within one budget a service.
+
+use std::collections::BTreeMap;
+
+use anvillift_routing::retry_budget::{RetryBudget, RetryBudgetSettings};
+use anvillift_schema::name::Name;
+
+use crate::forward::failure::AttemptFailure;
+use crate::gateway::Gateway;
+use crate::request::Request;
+
+/// Attempts of one request at most.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Retry budgets by service.
+pub(super) type Budgets = BTreeMap<Name, RetryBudget>;
+
+/// Counts a first attempt of the host that the caller asked.
+pub(crate) fn first_attempt(gateway: &Gateway, request: &Request) {
+    if request.forwarded {
+        return;
+    }
+    let share_milli = request.profile.retry_share_milli;
+    let mut budgets = gateway.admission.budgets.lock().expect("lock");
+    let budget = budgets.entry(request.service.clone()).or_insert_with(|| {
+        let default = RetryBudgetSettings::default();
+        RetryBudget::new(RetryBudgetSettings { earned_per_attempt_milli: share_milli, ..default })
+    });
+    budget.set_earned_per_attempt(share_milli);
+    budget.earn();
+}
+
+/// Whether a failed attempt may be followed by another. Only the host that
+/// the caller asked tries again.
+pub(crate) fn may_retry(
+    gateway: &Gateway,
+    request: &Request,
+    failure: &AttemptFailure,
+    attempts: u32,
+) -> bool {
+    let harmless = failure.is_not_run() || request.is_repeatable();
+    if !harmless || request.forwarded || attempts >= MAX_ATTEMPTS {
+        return false;
+    }
+    let mut budgets = gateway.admission.budgets.lock().expect("lock");
+    budgets.get_mut(&request.service).is_some_and(RetryBudget::spend)
+}
--- a/crates/anvillift-gateway/src/forward/local.rs
+++ b/crates/anvillift-gateway/src/forward/local.rs
@@ -55,7 +55,7 @@
         .headers(request.headers.clone())
         .header(headers::ATTEMPT, attempt.as_str())
         .header(headers::REQUEST_ID, request.id.as_str())
-        .header(headers::PRIORITY, request.profile.priority)
+        .header(headers::PRIORITY, request.priority())
         .header(headers::HOPS, hops)
         .body(request.body.clone())
 }
--- a/crates/anvillift-gateway/src/inbox.rs
+++ b/crates/anvillift-gateway/src/inbox.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Weak};
 
 use anvillift_mesh::{IncomingStream, MeshInbox};
+use anvillift_routing::team_bucket::Allowance;
 use anvillift_schema::code::Code;
 use anvillift_schema::link::{PeerAnswer, PeerCall, PeerMessage};
 use anvillift_schema::name::Name;
@@ -77,7 +78,7 @@
             }
         }
         PeerCall::LeaseTokens { team, requests_milli, tokens } => {
-            admission::lease(gateway, &from, &team, requests_milli, tokens)
+            admission::lease(gateway, &from, &team, Allowance { requests_milli, tokens })
         }
         PeerCall::DispatchOrder(order) => control::dispatch_order(gateway, order).await,
     }
--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -52,6 +52,10 @@
     let view = gateway.members.lock().expect("lock").view(now_ms);
     let configuration = gateway.configuration.load_full();
     let mut router = gateway.router.lock().expect("lock");
+    for (name, known) in &view.upstreams {
+        let announcement = &known.announcement;
+        router.cache_events(now_ms, name, announcement.incarnation, &announcement.cache_events);
+    }
     for service in configuration.services.values() {
         if let Some(profile) = configuration.profiles.get(&service.profile) {
             router.refresh(now_ms, &service.name, load_view(gateway, &view, service, profile));
--- a/crates/anvillift-gateway/src/request.rs
+++ b/crates/anvillift-gateway/src/request.rs
@@ -59,11 +59,19 @@
 
     /// Class of its stream on a link.
     pub(crate) fn class(&self) -> LinkClass {
-        let Some(chat) = &self.chat else { return LinkClass::Quick };
-        let quick = !chat.stream
-            && chat.answer_tokens <= QUICK_ANSWER_TOKENS
-            && self.body.len() <= QUICK_BODY_BYTES;
-        if quick { LinkClass::Quick } else { LinkClass::Bulk }
+        if self.is_quick() { LinkClass::Quick } else { LinkClass::Bulk }
+    }
+
+    /// Whether it is short enough to go before bulk work.
+    fn is_quick(&self) -> bool {
+        self.chat.as_ref().is_none_or(|chat| {
+            chat.answer_tokens <= QUICK_ANSWER_TOKENS && self.body.len() <= QUICK_BODY_BYTES
+        })
+    }
+
+    /// Priority under overload and at the upstream; higher is kept longer.
+    pub(crate) fn priority(&self) -> u32 {
+        self.profile.priority + u32::from(self.is_quick())
     }
 
     /// What routing and admission rest on.
@@ -78,7 +86,7 @@
             answer_tokens: chat.map_or(0, |chat| chat.answer_tokens),
             body_bytes,
             prefix_blocks: chat.map(|chat| chat.prefix_blocks.clone()).unwrap_or_default(),
-            priority: self.profile.priority,
+            priority: self.priority(),
             deadline_ms: self.deadline_ms.saturating_sub(now_ms),
             idempotent: self.is_repeatable(),
             forwarded: self.forwarded,
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -97,7 +97,7 @@
         mesh: OnceLock::new(),
         clients: Clients::new()?,
         in_flight: InFlight::new(),
-        admission: AdmissionState::new(&settings.limits),
+        admission: AdmissionState::new(&settings.host.name, &settings.limits),
         control: Control::default(),
         commands: Commands::default(),
         draining: AtomicBool::new(false),
--- a/crates/anvillift-gateway/src/upstreams/mod.rs
+++ b/crates/anvillift-gateway/src/upstreams/mod.rs
@@ -32,12 +32,8 @@
     let now_ms = gateway.now_ms();
     let known = gateway.snapshot.load().view.upstreams.contains_key(&announcement.upstream);
     let (upstream, leaving) = (announcement.upstream.clone(), announcement.leaving);
-    let (incarnation, events) = (announcement.incarnation, announcement.cache_events.clone());
     let accepted = gateway.members.lock().expect("lock").announce(now_ms, announcement);
     if accepted {
-        let mut router = gateway.router.lock().expect("lock");
-        router.cache_events(now_ms, &upstream, incarnation, &events);
-        drop(router);
         log_change(&upstream, known, leaving);
         if leaving || !known {
             membership::refresh(gateway);
