Resume broken event streams, or end them in an error event

Cause: a stream that broke at the upstream ended as if it were whole. Ruled out: buffering whole answers at the host, which delays tokens and costs memory. Change: whole events are passed on and counted; a break is resumed at the count where the upstream can, else the stream ends in an error event without [DONE]; other bodies abort the connection. The deadline of the request ends its answer. Conclusion: a cut answer does not look whole.

--- a/crates/anvillift-gateway/src/admission/mod.rs
+++ b/crates/anvillift-gateway/src/admission/mod.rs
@@ -17,6 +17,8 @@
 
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
+/// Times that one stream is resumed at most.
+const MAX_RESUMES: u32 = 3;
 
 /// Admission's part of a gateway.
 #[derive(Debug)]
@@ -75,6 +77,11 @@
     harmless && !request.forwarded && attempts < MAX_ATTEMPTS
 }
 
+/// Whether a stream that broke off may be resumed once more.
+pub(crate) fn may_resume(_gateway: &Gateway, _request: &Request, resumes: u32) -> bool {
+    resumes < MAX_RESUMES
+}
+
 /// Leases tokens of a team to another host of the data centre.
 pub(crate) fn lease(
     _gateway: &Gateway,
--- a/crates/anvillift-gateway/src/answer.rs
+++ b/crates/anvillift-gateway/src/answer.rs
@@ -38,16 +38,23 @@
         }
     }
 
-    /// Keeps a value until the body has ended or is dropped.
-    pub(crate) fn holding<T: Send + 'static>(mut self, held: T) -> Self {
-        self.body = match self.body {
+    /// Changes a streamed body; a whole one stays.
+    pub(crate) fn map_stream(self, change: impl FnOnce(AnswerStream) -> AnswerStream) -> Self {
+        let body = match self.body {
             AnswerBody::Whole(bytes) => AnswerBody::Whole(bytes),
-            AnswerBody::Stream(stream) => AnswerBody::Stream(Box::pin(stream.map(move |item| {
+            AnswerBody::Stream(stream) => AnswerBody::Stream(change(stream)),
+        };
+        Self { body, ..self }
+    }
+
+    /// Keeps a value until a streamed body has ended or is dropped.
+    pub(crate) fn holding<T: Send + 'static>(self, held: T) -> Self {
+        self.map_stream(|stream| {
+            Box::pin(stream.map(move |item| {
                 let _ = &held;
                 item
-            }))),
-        };
-        self
+            }))
+        })
     }
 
     /// Writes the answer as salvo's.
--- a/crates/anvillift-gateway/src/forward/event_stream.rs
+++ b/crates/anvillift-gateway/src/forward/event_stream.rs
@@ -1,40 +1,52 @@
-//! Server-sent events: where one ends, and the error event of a broken stream.
+//! The end of an answer towards its caller: the deadline, and the error event
+//! of a stream that broke off.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use anvillift_schema::code::Code;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream;
-use tokio::time::{self, Instant};
+use futures_util::{Stream, StreamExt};
+use tokio::time::{self, Instant, Sleep};
 
-use crate::answer::{Answer, AnswerBody, AnswerStream};
+use crate::answer::{Answer, AnswerStream};
 use crate::problem::Refusal;
 
 /// Ends a body at its deadline, and a broken event stream with an error event.
-pub(crate) fn end_with_error_event(mut answer: Answer, id: Name, deadline: Instant) -> Answer {
+pub(crate) fn end_with_error_event(answer: Answer, id: Name, deadline: Instant) -> Answer {
     let is_event_stream = answer.is_event_stream();
-    let AnswerBody::Stream(body) = answer.body else { return answer };
-    let body = until(body, deadline);
-    answer.body = AnswerBody::Stream(if is_event_stream {
-        Box::pin(body.map(move |item| match item {
+    answer.map_stream(|body| {
+        let bounded = Bounded { body: Some(body), deadline: Box::pin(time::sleep_until(deadline)) };
+        if !is_event_stream {
+            return Box::pin(bounded);
+        }
+        Box::pin(bounded.map(move |item| match item {
             Err(code) => Ok(Bytes::from(Refusal::from(code).error_event(Some(&id)))),
             whole => whole,
         }))
-    } else {
-        body
-    });
-    answer
+    })
 }
 
-/// The body until it breaks off or the deadline passes.
-fn until(body: AnswerStream, deadline: Instant) -> AnswerStream {
-    Box::pin(stream::unfold(Some(body), move |body| async move {
-        let mut body = body?;
-        match time::timeout_at(deadline, body.next()).await {
-            Err(_) => Some((Err(Code::UpstreamTimeout), None)),
-            Ok(None) => None,
-            Ok(Some(Err(code))) => Some((Err(code), None)),
-            Ok(Some(Ok(bytes))) => Some((Ok(bytes), Some(body))),
+/// A body until it ends, breaks off or the deadline passes.
+struct Bounded {
+    body: Option<AnswerStream>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl Stream for Bounded {
+    type Item = Result<Bytes, Code>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let Some(body) = self.body.as_mut() else { return Poll::Ready(None) };
+        let item = match body.poll_next_unpin(cx) {
+            Poll::Ready(item) => item,
+            Poll::Pending if self.deadline.as_mut().poll(cx).is_pending() => return Poll::Pending,
+            Poll::Pending => Some(Err(Code::UpstreamTimeout)),
+        };
+        if !matches!(item, Some(Ok(_))) {
+            self.body = None;
         }
-    }))
+        Poll::Ready(item)
+    }
 }
--- a/crates/anvillift-gateway/src/forward/local.rs
+++ b/crates/anvillift-gateway/src/forward/local.rs
@@ -5,10 +5,11 @@
 use anvillift_schema::code::Code;
 use anvillift_schema::name::Name;
 use futures_util::StreamExt;
-use reqwest::{RequestBuilder, Response};
+use reqwest::{RequestBuilder, Response, StatusCode};
 use tokio::time;
 
 use super::failure::AttemptFailure;
+use super::resume;
 use crate::answer::{Answer, AnswerBody, AnswerStream};
 use crate::gateway::Gateway;
 use crate::headers;
@@ -32,21 +33,26 @@
         Ok(Err(_)) => return Err(AttemptFailure::unknown(Code::UpstreamBroke)),
         Ok(Ok(response)) => response,
     };
-    let mut answer = to_answer(response);
+    let mut answer = to_answer(gateway, request, upstream, attempt, response);
     answer.set_header(headers::ROUTE, &format!("{}>{upstream}", gateway.route_part()));
     answer.set_header(headers::OUTCOME, "ran");
     Ok(answer)
 }
 
 /// Base URL of an upstream that may still get new work.
-fn url(gateway: &Gateway, upstream: &Name) -> Option<String> {
+pub(super) fn url(gateway: &Gateway, upstream: &Name) -> Option<String> {
     let snapshot = gateway.snapshot.load();
     let expiry_ms = gateway.settings.timing.upstream_expiry_ms;
     let known = snapshot.upstream(upstream, gateway.now_ms(), expiry_ms)?;
     Some(known.announcement.url.trim_end_matches('/').to_owned())
 }
 
-fn build(gateway: &Gateway, request: &Request, url: &str, attempt: &Name) -> RequestBuilder {
+pub(super) fn build(
+    gateway: &Gateway,
+    request: &Request,
+    url: &str,
+    attempt: &Name,
+) -> RequestBuilder {
     let clients = &gateway.clients;
     let client = if request.is_command() { &clients.fresh } else { &clients.pooled };
     let hops = hops(gateway, request);
@@ -60,6 +66,12 @@
         .body(request.body.clone())
 }
 
+/// Body of an upstream's answer.
+pub(super) fn to_answer_stream(response: Response) -> AnswerStream {
+    let body = response.bytes_stream();
+    Box::pin(body.map(|item| item.map_err(|_| Code::UpstreamBroke)))
+}
+
 /// The visited hosts and regions, with this host and its region.
 fn hops(gateway: &Gateway, request: &Request) -> String {
     let own = [gateway.host(), gateway.region()];
@@ -67,10 +79,24 @@
     all.join(",")
 }
 
-fn to_answer(response: Response) -> Answer {
+fn to_answer(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    upstream: &Name,
+    attempt: &Name,
+    response: Response,
+) -> Answer {
     let status = response.status();
     let headers = headers::of_answer(response.headers());
-    let body = response.bytes_stream();
-    let body: AnswerStream = Box::pin(body.map(|item| item.map_err(|_| Code::UpstreamBroke)));
-    Answer { status, headers, body: AnswerBody::Stream(body) }
+    let body = AnswerBody::Stream(to_answer_stream(response));
+    let answer = Answer { status, headers, body };
+    let is_chat_stream = request.chat.as_ref().is_some_and(|chat| chat.stream);
+    if !(is_chat_stream && status == StatusCode::OK && answer.is_event_stream()) {
+        return answer;
+    }
+    let snapshot = gateway.snapshot.load();
+    let known = snapshot.view.upstreams.get(upstream);
+    let can_resume = known.is_some_and(|known| known.announcement.can_resume);
+    answer
+        .map_stream(|body| resume::resumable(gateway, request, upstream, attempt, can_resume, body))
 }
--- a/crates/anvillift-gateway/src/forward/mod.rs
+++ b/crates/anvillift-gateway/src/forward/mod.rs
@@ -4,11 +4,13 @@
 //! answer or fails, and then the retry hook of admission says whether another
 //! place is asked. Start at [`serve`].
 
+pub mod event_splitter;
 pub(crate) mod event_stream;
 pub(crate) mod failure;
 pub(crate) mod incoming;
 pub(crate) mod local;
 pub(crate) mod remote;
+mod resume;
 mod under_way;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/anvillift-gateway/src/forward/resume.rs
@@ -0,0 +1,105 @@
+//! Streams of events that go on after the upstream's connection broke.
+
+use std::sync::Arc;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::event::Event;
+use anvillift_schema::name::Name;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use reqwest::StatusCode;
+
+use super::event_splitter::EventSplitter;
+use super::{attempt_id, local};
+use crate::admission;
+use crate::answer::AnswerStream;
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::request::Request;
+
+/// A stream of events from one upstream.
+struct ResumableStream {
+    gateway: Arc<Gateway>,
+    request: Request,
+    upstream: Name,
+    attempt: Name,
+    can_resume: bool,
+    resumes: u32,
+    body: AnswerStream,
+    events: EventSplitter,
+}
+
+/// Passes whole events on, resumes the stream where it broke if the upstream
+/// can, and gives a code if the stream ends before its last event.
+pub(crate) fn resumable(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    upstream: &Name,
+    attempt: &Name,
+    can_resume: bool,
+    body: AnswerStream,
+) -> AnswerStream {
+    let stream = ResumableStream {
+        gateway: gateway.clone(),
+        request: request.clone(),
+        upstream: upstream.clone(),
+        attempt: attempt.clone(),
+        can_resume,
+        resumes: 0,
+        body,
+        events: EventSplitter::default(),
+    };
+    Box::pin(stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        match stream.next().await {
+            Some(Ok(bytes)) => Some((Ok(bytes), Some(stream))),
+            Some(Err(code)) => Some((Err(code), None)),
+            None => None,
+        }
+    }))
+}
+
+impl ResumableStream {
+    async fn next(&mut self) -> Option<Result<Bytes, Code>> {
+        loop {
+            match self.body.next().await {
+                Some(Ok(chunk)) => match self.events.feed(chunk) {
+                    Ok(events) if events.is_empty() => {}
+                    Ok(events) => return Some(Ok(events)),
+                    Err(_) => return Some(Err(Code::UpstreamBroke)),
+                },
+                _ if self.events.is_done() => return None,
+                _ => {
+                    if !self.resume().await {
+                        return Some(Err(Code::UpstreamBroke));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks the upstream for the events after those that were passed on.
+    async fn resume(&mut self) -> bool {
+        log::warn!(
+            event = Event::UpstreamBroke.number(), upstream = self.upstream.as_str();
+            "{} broke off after {} events", self.upstream, self.events.data_events()
+        );
+        self.events.drop_rest();
+        if !self.can_resume || !admission::may_resume(&self.gateway, &self.request, self.resumes) {
+            return false;
+        }
+        self.resumes += 1;
+        let Some(url) = local::url(&self.gateway, &self.upstream) else { return false };
+        let attempt = attempt_id();
+        let outgoing = local::build(&self.gateway, &self.request, &url, &attempt)
+            .header(headers::RESUME_ATTEMPT, self.attempt.as_str())
+            .header(headers::RESUME_OFFSET, self.events.data_events());
+        let Ok(response) = outgoing.send().await else { return false };
+        if response.status() != StatusCode::OK {
+            return false;
+        }
+        self.attempt = attempt;
+        self.body = local::to_answer_stream(response);
+        true
+    }
+}
--- a/crates/anvillift-gateway/src/headers.rs
+++ b/crates/anvillift-gateway/src/headers.rs
@@ -16,6 +16,8 @@
 pub(crate) const CODE: &str = "anvillift-code";
 pub(crate) const ATTEMPT: &str = "anvillift-attempt";
 pub(crate) const PRIORITY: &str = "anvillift-priority";
+pub(crate) const RESUME_ATTEMPT: &str = "anvillift-resume-attempt";
+pub(crate) const RESUME_OFFSET: &str = "anvillift-resume-offset";
 
 const OWN_PREFIX: &str = "anvillift-";
 
--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -15,7 +15,7 @@
 mod commands;
 mod control;
 mod error;
-mod forward;
+pub mod forward;
 pub mod gateway;
 mod headers;
 mod in_flight;
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway, with real sockets and fake upstreams.
 
+mod broken_streams;
 mod cluster;
 mod fake_upstream;
 mod leaving;
