--- a/crates/anvillift-gateway/src/admission/mod.rs
+++ b/crates/anvillift-gateway/src/admission/mod.rs
@@ -17,7 +17,7 @@
 use anvillift_schema::name::Name;
 use anvillift_schema::settings::LimitSettings;
 
-pub(crate) use retries::{first_attempt, may_retry};
+pub(crate) use retries::{first_attempt, may_resume, may_retry};
 pub(crate) use slots::AdmissionGuard;
 pub(crate) use teams::lease;
 
--- a/crates/anvillift-gateway/src/admission/retries.rs
+++ b/crates/anvillift-gateway/src/admission/retries.rs
@@ -12,14 +12,14 @@
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Times that one stream is resumed at most.
+const MAX_RESUMES: u32 = 3;
+
 /// Retry budgets by service.
 pub(super) type Budgets = BTreeMap<Name, RetryBudget>;
 
-/// Counts a first attempt of the host that the caller asked.
+/// Counts a first attempt on this host.
 pub(crate) fn first_attempt(gateway: &Gateway, request: &Request) {
-    if request.forwarded {
-        return;
-    }
     let share_milli = request.profile.retry_share_milli;
     let mut budgets = gateway.admission.budgets.lock().expect("lock");
     let budget = budgets.entry(request.service.clone()).or_insert_with(|| {
@@ -42,6 +42,16 @@
     if !harmless || request.forwarded || attempts >= MAX_ATTEMPTS {
         return false;
     }
+    spend(gateway, request)
+}
+
+/// Whether a stream that broke off may be resumed once more, by the host that
+/// asked the upstream.
+pub(crate) fn may_resume(gateway: &Gateway, request: &Request, resumes: u32) -> bool {
+    resumes < MAX_RESUMES && spend(gateway, request)
+}
+
+fn spend(gateway: &Gateway, request: &Request) -> bool {
     let mut budgets = gateway.admission.budgets.lock().expect("lock");
     budgets.get_mut(&request.service).is_some_and(RetryBudget::spend)
 }
