--- /dev/null
+++ b/crates/anvillift-replication/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of running groups, with and without disks.
+
+mod faults;
+mod group;
+mod support;
