Add the control state machine

Cause: changes must be accepted once, in order, and be resend-safe; orders to upstreams need a number that only grows. Ruled out: forgetting change ids by age (needs a clock in the machine); a configuration of revision 0 that differs between control hosts (the first leader founds it through the log, as revision 1). After: cargo test -p anvillift-control: 18 passed. Conclusion: a forgotten id is harmless: its expected revision is stale.

--- /dev/null
+++ b/crates/anvillift-control/tests/testsuite/changes.rs
@@ -0,0 +1,149 @@
+//! Changes: races, resends, validity, and what a snapshot keeps.
+
+use anvillift_control::ControlMachine;
+use anvillift_schema::configuration::{Configuration, ControlAnswer, ControlCommand, Edit};
+use anvillift_schema::name::Name;
+use anvillift_schema::upstream::{UpstreamOrder, UpstreamOrderAction};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::support::{Log, change, profile, service, team};
+
+fn put(name: &str) -> Vec<Edit> {
+    vec![Edit::PutProfile(profile(name))]
+}
+
+#[test]
+fn only_the_first_seed_counts() {
+    let mut log = Log::seeded();
+    let mut other = Configuration::default();
+    other.profiles.insert(Name::from("other"), profile("other"));
+    let answer = log.apply(ControlCommand::Seed(other));
+    assert_eq!(answer, ControlAnswer::Accepted { revision: 1 });
+    assert!(log.machine.configuration().profiles.is_empty());
+}
+
+#[test]
+fn of_two_operators_at_equal_revision_one_is_accepted() {
+    let mut log = Log::seeded();
+    let first = log.submit(&change("a", 1, put("one")));
+    let second = log.submit(&change("b", 1, put("two")));
+    assert_eq!(first, ControlAnswer::Accepted { revision: 2 });
+    assert_eq!(second, ControlAnswer::Conflict { revision: 2 });
+    assert!(!log.machine.configuration().profiles.contains_key("two"));
+}
+
+#[test]
+fn a_resend_has_the_same_answer_and_no_effect() {
+    let mut log = Log::seeded();
+    let first = change("a", 1, put("one"));
+    assert_eq!(log.submit(&first), ControlAnswer::Accepted { revision: 2 });
+    log.submit(&change("b", 2, vec![Edit::RemoveProfile(Name::from("one"))]));
+    assert_eq!(log.submit(&first), ControlAnswer::Accepted { revision: 2 });
+    assert!(log.machine.configuration().profiles.is_empty());
+    assert_eq!(log.machine.configuration().revision, 3);
+}
+
+#[test]
+fn an_id_with_another_body_is_refused() {
+    let mut log = Log::seeded();
+    log.submit(&change("a", 1, put("one")));
+    let answer = log.submit(&change("a", 2, put("two")));
+    assert_eq!(answer, ControlAnswer::Mismatch { revision: 2 });
+}
+
+#[test]
+fn a_snapshot_keeps_the_ids() {
+    let mut log = Log::seeded();
+    let first = change("a", 1, put("one"));
+    log.submit(&first);
+    log.machine = ControlMachine::restore(&log.machine.snapshot()).expect("restores");
+    assert_eq!(log.submit(&first), ControlAnswer::Accepted { revision: 2 });
+    assert_eq!(log.submit(&change("a", 2, put("two"))), ControlAnswer::Mismatch { revision: 2 });
+}
+
+#[test]
+fn a_change_whose_id_is_forgotten_is_not_applied_again() {
+    let mut log = Log::seeded();
+    let first = change("first", 1, put("one"));
+    log.submit(&first);
+    for revision in 2..=20_002 {
+        let edits = vec![Edit::PutTeam(team("team", 'a'))];
+        log.submit(&change(&format!("change-{revision}"), revision, edits));
+    }
+    assert_eq!(log.machine.revision_of(&first.change_id), None);
+    assert_eq!(log.submit(&first), ControlAnswer::Conflict { revision: 20_003 });
+}
+
+#[rstest]
+#[case::nothing(vec![])]
+#[case::a_bad_name(vec![Edit::PutProfile(profile("not a name"))])]
+#[case::an_unknown_profile(vec![Edit::PutService(service("s", "unknown"))])]
+#[case::a_removed_profile_in_use(vec![Edit::RemoveProfile(Name::from("used"))])]
+#[case::nothing_to_remove(vec![Edit::RemoveTeam(Name::from("nobody"))])]
+#[case::a_malformed_key(vec![Edit::PutTeam(team("x", 'Z'))])]
+#[case::a_shared_key(vec![Edit::PutTeam(team("thief", 'b'))])]
+fn an_invalid_change_has_no_effect(#[case] edits: Vec<Edit>) {
+    let mut log = Log::seeded();
+    let first = vec![
+        Edit::PutProfile(profile("used")),
+        Edit::PutService(service("user", "used")),
+        Edit::PutTeam(team("owner", 'b')),
+    ];
+    log.submit(&change("first", 1, first));
+    let before = log.machine.configuration().clone();
+    let answer = log.submit(&change("second", 2, edits));
+    assert!(matches!(answer, ControlAnswer::Invalid { .. }), "{answer:?}");
+    assert_eq!(*log.machine.configuration(), before);
+}
+
+#[test]
+fn orders_are_numbered_by_the_log_and_a_resend_keeps_its_number() {
+    let mut log = Log::seeded();
+    let order = |id: &str, upstream: &str| UpstreamOrder {
+        order_id: Name::from(id),
+        upstream: Name::from(upstream),
+        data_centre: Name::from("dc"),
+        action: UpstreamOrderAction::Leave,
+        argument: None,
+    };
+    let first = log.apply(ControlCommand::Order(order("a", "one")));
+    let second = log.apply(ControlCommand::Order(order("b", "one")));
+    let resent = log.apply(ControlCommand::Order(order("a", "one")));
+    let reused = log.apply(ControlCommand::Order(order("a", "two")));
+    assert_eq!(first, ControlAnswer::Ordered { fencing: 2 });
+    assert_eq!(second, ControlAnswer::Ordered { fencing: 3 });
+    assert_eq!(resent, first);
+    assert!(matches!(reused, ControlAnswer::Mismatch { .. }));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn arbitrary_commands_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut log = Log::seeded();
+        let before = log.machine.snapshot();
+        let answer = log.machine.apply(2, &bytes);
+        let invalid = matches!(answer, ControlAnswer::Invalid { .. });
+        prop_assert!(invalid);
+        prop_assert_eq!(log.machine.snapshot(), before);
+        prop_assert!(ControlMachine::restore(&bytes).is_none());
+    }
+
+    #[test]
+    fn each_revision_is_given_once(
+        submissions in prop::collection::vec((0usize..6, 1u64..6), 1..40),
+    ) {
+        let mut log = Log::seeded();
+        let mut accepted = std::collections::BTreeMap::new();
+        for (id, expected_revision) in submissions {
+            let change = change(&format!("change-{id}"), expected_revision, put("one"));
+            if let ControlAnswer::Accepted { revision } = log.submit(&change) {
+                let first = accepted.entry(revision).or_insert_with(|| change.clone());
+                prop_assert_eq!(&*first, &change);
+            }
+        }
+        prop_assert_eq!(log.machine.configuration().revision, accepted.len() as u64 + 1);
+    }
+}
--- /dev/null
+++ b/crates/anvillift-control/tests/testsuite/held.rs
@@ -0,0 +1,56 @@
+//! What daemons hold goes forward only, whatever arrives in whatever order.
+
+use anvillift_control::HeldConfiguration;
+use anvillift_schema::configuration::{Configuration, ConfigurationUpdate, Edit};
+use proptest::prelude::*;
+
+use crate::support::{Log, change, profile};
+
+/// The configuration at each revision, and the machine at the last one.
+fn history(revisions: u64) -> (Vec<Configuration>, Log) {
+    let mut log = Log::seeded();
+    let mut history = vec![Configuration::default(), log.machine.configuration().clone()];
+    for revision in 1..revisions {
+        let edits = vec![Edit::PutProfile(profile(&format!("profile-{}", revision % 5)))];
+        log.submit(&change(&format!("change-{revision}"), revision, edits));
+        history.push(log.machine.configuration().clone());
+    }
+    (history, log)
+}
+
+#[test]
+fn a_daemon_behind_the_kept_deltas_gets_the_whole() {
+    let (_, log) = history(1_200);
+    let update = log.machine.update_after(3);
+    assert!(matches!(update, Some(ConfigurationUpdate::Whole(_))));
+    let update = log.machine.update_after(1_190);
+    assert!(matches!(&update, Some(ConfigurationUpdate::Deltas(deltas)) if deltas.len() == 10));
+    assert_eq!(log.machine.update_after(1_200), None);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_daemon_never_goes_back_and_holds_what_was_accepted(
+        asked in prop::collection::vec((0u64..30, 1u64..30), 1..30),
+    ) {
+        let (history, _) = history(30);
+        let mut held = HeldConfiguration::default();
+        let mut relay = HeldConfiguration::default();
+        let mut before = 0;
+        for (after, upto) in asked {
+            // An update as of some moment, for some revision, late or doubled.
+            let (_, log) = crate::held::history(upto);
+            if let Some(update) = log.machine.update_after(after) {
+                relay.take(update);
+            }
+            if let Some(update) = relay.update_after(after) {
+                held.take(update);
+            }
+            prop_assert!(held.revision() >= before);
+            before = held.revision();
+            prop_assert_eq!(&**held.configuration(), &history[held.revision() as usize]);
+        }
+    }
+}
