Add the operators' command-line tool with its tables

Cause: Operators and callers need one tool for hosts, upstreams, questions, profiles, changes, orders, the burn report and settings.

Ruled out: Resending by the HTTP client: it is told never to; only change submit sends again, under one change id. Exit code 1 for every failure: scripts could not tell a conflict from an overload, so the exit code is the hundreds of the numbered result.

Change: src/main.rs and src/cmd with argh, text and JSON output, docs/RESULT-CODES.md and docs/EVENTS.md, schema/operators.json, tests/testsuite with a host of prepared answers.

Before: an empty binary. Seen failing: without the resend change_is_sent_again_under_one_id_after_a_lost_answer; without the note of lost answers change_without_an_answer_names_the_id_to_go_on_with; without the check of deciding refusals conflict_is_final_and_names_the_current_revision; without the end mark cut_stream_is_never_a_success; without error events error_event_names_its_numbered_result; without the missing hosts burn_report_names_daemons_that_do_not_answer; with another exit code exit_code_is_that_of_the_numbered_result; with a changed row both tests of tables.

Conclusion: The tool is ready for real daemons, which it has not met yet.

--- a/crates/anvillift-schema/src/lib.rs
+++ b/crates/anvillift-schema/src/lib.rs
@@ -12,5 +12,5 @@
 pub mod payload;
 
 pub use generated::{
-    burn, configuration, consensus, ledger, link, membership, public, settings, upstream,
+    burn, configuration, consensus, ledger, link, membership, operators, public, settings, upstream,
 };
--- a/crates/anvillift-settings/src/hint.rs
+++ b/crates/anvillift-settings/src/hint.rs
@@ -7,11 +7,17 @@
 pub(crate) fn hint(given: &str, allowed: &[&str]) -> String {
     let nearest = allowed.iter().min_by_key(|name| distance(given, name));
     match nearest {
-        Some(name) if distance(given, name) <= MAX_EDITS => format!("did you mean `{name}`?"),
+        Some(name) if is_near(given, name) => format!("did you mean `{name}`?"),
         _ => format!("allowed: {}", allowed.join(", ")),
     }
 }
 
+/// Whether few letters differ, and fewer than stay the same.
+fn is_near(given: &str, name: &str) -> bool {
+    let edits = distance(given, name);
+    edits <= MAX_EDITS && 2 * edits <= given.chars().count()
+}
+
 /// Levenshtein distance of two names.
 fn distance(left: &str, right: &str) -> usize {
     let right: Vec<char> = right.chars().collect();
--- /dev/null
+++ b/src/cmd/change.rs
@@ -0,0 +1,176 @@
+//! `anvillift change`.
+//!
+//! A change carries an id, so that sending it again after a lost answer never
+//! applies it twice. `submit` sends it again by itself while its fate is not
+//! known, and in the end says which id to go on with.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::configuration;
+use anvillift_schema::public::{ChangeAnswer, ChangeStatus, RegionStatus};
+use anvillift_settings as settings;
+use snafu::ResultExt;
+use tokio::time;
+use uuid::Uuid;
+
+use crate::client::{self, Client};
+use crate::error::{ChangeUndecidedSnafu, Error, SettingsSnafu};
+use crate::output::{self, Format};
+use crate::table::Table;
+
+/// Wait before a change is sent again.
+const RESEND_WAIT_MS: u64 = 500;
+
+/// Submit a planned change, or show where one is in force.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "change")]
+pub(crate) struct Change {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand)]
+enum Action {
+    Submit(Submit),
+    Status(Status),
+}
+
+/// Submit the edits of a change file.
+///
+/// Exit code 16 with result code 1601 means that another change came first: look
+/// at it, and submit again with the revision named.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "submit")]
+struct Submit {
+    /// change file with [profile X], [service Y] and [team Z] sections
+    #[argh(positional)]
+    file: PathBuf,
+    /// revision that the change was written against
+    #[argh(option)]
+    expect_revision: u64,
+    /// id of a change that was sent before (a new id is drawn otherwise)
+    #[argh(option)]
+    change_id: Option<String>,
+    /// times the change is sent while no answer comes (5)
+    #[argh(option, default = "5")]
+    attempts: u32,
+}
+
+/// Show where a change is in force.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+struct Status {
+    /// id of the change
+    #[argh(positional)]
+    change_id: String,
+}
+
+impl Change {
+    /// Submits a change or shows its state.
+    pub(crate) async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
+        match &self.action {
+            Action::Submit(submit) => submit.execute(client, format).await,
+            Action::Status(status) => status.execute(client, format).await,
+        }
+    }
+}
+
+impl Submit {
+    async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
+        let edits = settings::load_change(&self.file).context(SettingsSnafu)?;
+        let change_id = self.change_id.clone().unwrap_or_else(|| Uuid::now_v7().to_string());
+        let change = configuration::Change {
+            change_id: change_id.as_str().into(),
+            expected_revision: self.expect_revision,
+            edits,
+        };
+        output::print_note(format_args!("change id: {change_id}"));
+        let answer = self.send(client, &change).await?;
+        let text = format!("accepted: revision {}", answer.revision);
+        output::print(format, &answer, text)
+    }
+
+    /// Sends the change until its fate is known or the attempts are used up.
+    async fn send(
+        &self,
+        client: &Client,
+        change: &configuration::Change,
+    ) -> Result<ChangeAnswer, Error> {
+        let mut undecided = false;
+        let mut attempt = 1;
+        loop {
+            let error = match client.post("/v1/operator/changes", change).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            undecided |= client::may_have_run(&error);
+            if !may_send_again(&error) || attempt >= self.attempts {
+                let change_id = change.change_id.to_string();
+                return match undecided && !decides(&error) {
+                    true => Err(error).context(ChangeUndecidedSnafu { change_id }),
+                    false => Err(error),
+                };
+            }
+            output::print_note(format_args!("{error}; sending the same change again"));
+            time::sleep(Duration::from_millis(RESEND_WAIT_MS)).await;
+            attempt += 1;
+        }
+    }
+}
+
+/// Whether a later attempt may fare better.
+fn may_send_again(error: &Error) -> bool {
+    let codes = [Code::CommitUnknown, Code::NoLeader, Code::NotReady, Code::Draining];
+    match error {
+        Error::NoAnswer { .. } | Error::Unreadable { .. } => true,
+        Error::Refused { problem } => codes.iter().any(|code| code.number() == problem.code),
+        _ => false,
+    }
+}
+
+/// Whether a refusal tells the fate of every earlier attempt as well.
+fn decides(error: &Error) -> bool {
+    let codes = [Code::RevisionConflict, Code::ChangeMismatch, Code::ChangeInvalid];
+    let number = error.problem().map(|problem| problem.code);
+    codes.iter().any(|code| Some(code.number()) == number)
+}
+
+impl Status {
+    async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
+        let path = format!("/v1/operator/changes/{}", self.change_id);
+        let status: ChangeStatus = client.get(&path).await?;
+        let accepted = match status.accepted {
+            true => format!("accepted at revision {}", status.revision),
+            false => "not accepted".to_owned(),
+        };
+        let text = format!("change {}: {accepted}\n{}", status.change_id, table(&status));
+        output::print(format, &status, text)
+    }
+}
+
+fn table(status: &ChangeStatus) -> Table {
+    let mut table = Table::new(&["REGION", "IN FORCE", "APPLIED", "BEHIND", "SILENT"]);
+    for (region, state) in &status.regions {
+        table.push(vec![
+            region.to_string(),
+            if state.in_force { "yes" } else { "no" }.to_owned(),
+            joined(state.applied_hosts.iter()),
+            joined(state.behind_hosts.iter()),
+            silent(state),
+        ]);
+    }
+    table
+}
+
+fn silent(state: &RegionStatus) -> String {
+    let hosts = state.silent.iter().map(|(host, age_ms)| format!("{host} ({age_ms} ms ago)"));
+    joined(hosts)
+}
+
+fn joined(items: impl Iterator<Item = impl ToString>) -> String {
+    let items: Vec<String> = items.map(|item| item.to_string()).collect();
+    if items.is_empty() { "-".to_owned() } else { items.join(",") }
+}
--- /dev/null
+++ b/src/cmd/report.rs
@@ -0,0 +1,97 @@
+//! `anvillift report`.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::PathBuf;
+
+use anvillift_schema::burn::BurnCounters;
+use anvillift_schema::name::Name;
+use anvillift_schema::operators::HostStatus;
+use anvillift_telemetry::BurnReport;
+use snafu::ResultExt;
+use tokio::task::JoinSet;
+
+use crate::client::Client;
+use crate::error::{Error, FileSnafu, PlotSnafu};
+use crate::output::{self, Format};
+
+/// Reports for operators.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "report")]
+pub(crate) struct Report {
+    #[argh(subcommand)]
+    kind: Kind,
+}
+
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand)]
+enum Kind {
+    Burn(Burn),
+}
+
+/// Report service-level burn by profile, from all daemons.
+///
+/// Daemons that do not answer are named; their requests are not counted.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "burn")]
+struct Burn {
+    /// also draw the burn rates over time to this SVG file
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+impl Report {
+    /// Collects and prints the report.
+    pub(crate) async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
+        let Kind::Burn(burn) = &self.kind;
+        burn.execute(client, format).await
+    }
+}
+
+impl Burn {
+    async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
+        let hosts: Vec<HostStatus> = client.get("/v1/operator/hosts").await?;
+        let (counters, missing) = collect(client, &hosts).await;
+        if counters.is_empty() {
+            return Err(Error::NoDaemon);
+        }
+        let report = BurnReport::merge(&counters, missing);
+        if let Some(path) = &self.svg {
+            let svg = report.to_svg().context(PlotSnafu)?;
+            fs::write(path, svg).context(FileSnafu { path })?;
+        }
+        output::print(format, &report, &report)
+    }
+}
+
+/// Asks every host at once; gives the counts, and why others are missing.
+async fn collect(
+    client: &Client,
+    hosts: &[HostStatus],
+) -> (Vec<BurnCounters>, BTreeMap<Name, String>) {
+    let mut asked = JoinSet::new();
+    for status in hosts {
+        let client = client.at(&status.record.caller_url);
+        let host = status.record.host.clone();
+        asked.spawn(async move {
+            let answer = client.get::<BurnCounters>("/v1/operator/burn").await;
+            (host, answer)
+        });
+    }
+    let mut counters = BTreeMap::new();
+    let mut missing = BTreeMap::new();
+    while let Some(joined) = asked.join_next().await {
+        match joined {
+            Ok((host, Ok(answer))) => {
+                counters.insert(host, answer);
+            }
+            Ok((host, Err(error))) => {
+                missing.insert(host, error.to_string());
+            }
+            Err(error) => {
+                missing.insert("?".into(), error.to_string());
+            }
+        }
+    }
+    (counters.into_values().collect(), missing)
+}
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,37 @@
+//! Tables for people, in aligned columns.
+
+use std::fmt;
+
+/// Rows of text under a heading.
+#[derive(Debug)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// An empty table with a heading.
+    pub(crate) fn new(heading: &[&str]) -> Self {
+        Self { rows: vec![heading.iter().map(|&cell| cell.to_owned()).collect()] }
+    }
+
+    /// Adds a row.
+    pub(crate) fn push(&mut self, row: Vec<String>) {
+        self.rows.push(row);
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..columns).map(width).collect();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}"));
+            writeln!(f, "{}", cells.collect::<Vec<_>>().join("  ").trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/testsuite/cli.rs
@@ -0,0 +1,202 @@
+//! The command-line tool against a host with prepared answers.
+
+use std::collections::BTreeMap;
+use std::fs;
+
+use anvillift_schema::burn::BurnCounters;
+use anvillift_schema::code::Code;
+use anvillift_schema::membership::{HostRecord, HostState};
+use anvillift_schema::operators::HostStatus;
+use anvillift_schema::public::{ChangeAnswer, ChangeStatus, Problem, RegionStatus};
+use rstest::rstest;
+use serde_json::Value;
+
+use crate::support::fake_host::{Answer, FakeHost};
+use crate::support::tool::{self, Run};
+
+const CHANGE: &str = "[profile quick]\npriority = 3\n";
+
+fn submit(host: &FakeHost, arguments: &[&str]) -> Run {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("change.ini");
+    fs::write(&path, CHANGE).expect("written");
+    let mut all = vec!["change", "submit", path.to_str().expect("a path")];
+    all.extend(["--expect-revision", "6"]);
+    all.extend(arguments);
+    tool::run_at(&host.url, "key", &all)
+}
+
+fn accepted() -> Answer {
+    Answer::json(200, &ChangeAnswer { change_id: "c-1".into(), revision: 7 })
+}
+
+fn refused(problem: &Problem) -> Answer {
+    Answer::json(problem.status, problem)
+}
+
+#[test]
+fn change_is_sent_again_under_one_id_after_a_lost_answer() {
+    let undecided = refused(&Code::CommitUnknown.problem());
+    let host = FakeHost::start(vec![Answer::Lost, undecided, accepted()]);
+    let run = submit(&host, &[]);
+    assert_eq!((run.code, run.stdout.trim()), (0, "accepted: revision 7"), "{run:?}");
+    let seen = host.seen();
+    assert_eq!(seen.len(), 3);
+    assert!(seen.iter().all(|request| request.body == seen[0].body), "the same change each time");
+    let sent: Value = serde_json::from_str(&seen[0].body).expect("JSON");
+    assert_eq!(sent["expected_revision"], 6);
+    let id = sent["change_id"].as_str().expect("an id");
+    assert_eq!(id.parse::<uuid::Uuid>().expect("a UUID").get_version_num(), 7);
+    assert!(run.stderr.contains(&format!("change id: {id}")), "{run:?}");
+}
+
+#[test]
+fn change_without_an_answer_names_the_id_to_go_on_with() {
+    let host = FakeHost::start(vec![Answer::Lost]);
+    let run = submit(&host, &["--change-id", "c-1", "--attempts", "2"]);
+    assert_eq!(run.code, 20);
+    assert_eq!(host.seen().len(), 2);
+    assert!(run.stderr.contains("may have been accepted"), "{run:?}");
+    assert!(run.stderr.contains("--change-id c-1"), "{run:?}");
+}
+
+#[test]
+fn conflict_is_final_and_names_the_current_revision() {
+    let problem = Problem { revision: Some(9), ..Code::RevisionConflict.problem() };
+    let host = FakeHost::start(vec![Answer::Lost, refused(&problem)]);
+    let run = submit(&host, &[]);
+    assert_eq!(run.code, 16);
+    assert_eq!(host.seen().len(), 2, "a conflict is not sent again");
+    assert!(run.stderr.contains("1601") && run.stderr.contains("current revision is 9"), "{run:?}");
+    assert!(!run.stderr.contains("may have been accepted"), "{run:?}");
+}
+
+#[rstest]
+#[case(Code::UnknownKey, 11)]
+#[case(Code::PlaceNotAllowed, 12)]
+#[case(Code::Overloaded, 13)]
+#[case(Code::UpstreamBroke, 14)]
+#[case(Code::ChangeUnknown, 16)]
+#[case(Code::Internal, 19)]
+fn exit_code_is_that_of_the_numbered_result(#[case] code: Code, #[case] exit: i32) {
+    let host = FakeHost::start(vec![refused(&code.problem())]);
+    let run = tool::run_at(&host.url, "key", &["--format", "json", "upstreams"]);
+    assert_eq!(run.code, exit, "{run:?}");
+    let error: Value = serde_json::from_str(&run.stderr).expect("JSON");
+    assert_eq!(error["problem"]["code"], code.number());
+}
+
+#[test]
+fn every_numbered_result_has_an_exit_code_of_its_hundred() {
+    for code in Code::ALL {
+        assert!((10..=19).contains(&(code.number() / 100)), "{code:?}");
+    }
+}
+
+#[test]
+fn change_status_shows_regions_and_silent_hosts() {
+    let region = RegionStatus {
+        in_force: false,
+        applied_hosts: vec!["a-1".into()],
+        behind_hosts: Vec::new(),
+        silent: BTreeMap::from([("a-2".into(), 4200)]),
+    };
+    let status = ChangeStatus {
+        change_id: "c-1".into(),
+        accepted: true,
+        revision: 7,
+        regions: BTreeMap::from([("north".into(), region)]),
+    };
+    let host = FakeHost::start(vec![Answer::json(200, &status)]);
+    let run = tool::run_at(&host.url, "key", &["change", "status", "c-1"]);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.stdout.contains("accepted at revision 7"), "{run:?}");
+    assert!(run.stdout.contains("a-2 (4200 ms ago)"), "{run:?}");
+    assert_eq!(host.seen()[0].line, "GET /v1/operator/changes/c-1");
+}
+
+fn event(text: &str) -> String {
+    let delta = serde_json::json!({ "choices": [{ "delta": { "content": text } }] });
+    format!("data: {delta}\n\n")
+}
+
+#[test]
+fn whole_stream_is_printed_with_its_route() {
+    let body = format!("{}{}data: [DONE]\n\n", event("water "), event("at dawn"));
+    let host = FakeHost::start(vec![Answer::Whole { status: 200, body }]);
+    let run = tool::run_at(&host.url, "key", &["ask", "answers", "when?"]);
+    assert_eq!((run.code, run.stdout.as_str()), (0, "water at dawn\n"), "{run:?}");
+    assert!(run.stderr.contains("route: north/a/a-1>e-1"), "{run:?}");
+}
+
+#[rstest]
+#[case::no_end_mark(Answer::Whole { status: 200, body: event("water ") })]
+#[case::cut_body(Answer::Cut { body: event("water ") })]
+fn cut_stream_is_never_a_success(#[case] answer: Answer) {
+    let host = FakeHost::start(vec![answer]);
+    let run = tool::run_at(&host.url, "key", &["ask", "answers", "when?"]);
+    assert_eq!(run.code, 14, "{run:?}");
+}
+
+#[test]
+fn error_event_names_its_numbered_result() {
+    let problem = serde_json::to_string(&Code::UpstreamBroke.problem()).expect("JSON");
+    let body = format!("{}event: error\ndata: {problem}\n\ndata: [DONE]\n\n", event("water "));
+    let host = FakeHost::start(vec![Answer::Whole { status: 200, body }]);
+    let run = tool::run_at(&host.url, "key", &["ask", "answers", "when?"]);
+    assert_eq!(run.code, 14, "{run:?}");
+    assert!(run.stderr.contains("1402"), "{run:?}");
+}
+
+fn status_of(name: &str, url: &str) -> HostStatus {
+    let record = HostRecord {
+        host: name.into(),
+        region: "north".into(),
+        data_centre: "a".into(),
+        incarnation: 1,
+        heartbeat: 1,
+        caller_url: url.to_owned(),
+        state: HostState::Ready,
+        in_flight_requests: 0,
+        revision: 7,
+        storage_id: None,
+    };
+    HostStatus { record, heard_age_ms: 10, alive: true }
+}
+
+#[test]
+fn burn_report_names_daemons_that_do_not_answer() {
+    let counters = BurnCounters { host: "a-1".into(), profiles: BTreeMap::new() };
+    let answering = FakeHost::start(vec![Answer::json(200, &counters)]);
+    let losing = FakeHost::start(vec![Answer::Lost]);
+    let hosts = [status_of("a-1", &answering.url), status_of("a-2", &losing.url)];
+    let asked = FakeHost::start(vec![Answer::json(200, &hosts)]);
+    let folder = tempfile::tempdir().expect("a folder");
+    let plot = folder.path().join("burn.svg");
+    let arguments = ["--format", "json", "report", "burn", "--svg", plot.to_str().expect("a path")];
+    let run = tool::run_at(&asked.url, "key", &arguments);
+    assert_eq!(run.code, 0, "{run:?}");
+    let report = run.json();
+    assert_eq!(report["answered_hosts"], serde_json::json!(["a-1"]));
+    assert!(report["missing_hosts"]["a-2"].is_string(), "{report}");
+    assert!(fs::read_to_string(plot).expect("a plot").starts_with("<svg"));
+}
+
+#[test]
+fn hosts_are_listed_as_text_and_json() {
+    let hosts = [status_of("a-1", "http://127.0.0.1:7400")];
+    let host = FakeHost::start(vec![Answer::json(200, &hosts)]);
+    let text = tool::run_at(&host.url, "key", &["hosts"]);
+    assert!(text.stdout.contains("a-1") && text.stdout.contains("ready"), "{text:?}");
+    let json = tool::run_at(&host.url, "key", &["--format", "json", "hosts"]);
+    assert_eq!(json.json()[0]["record"]["revision"], 7);
+}
+
+#[rstest]
+#[case::no_host(&["hosts"], 2)]
+#[case::unknown_option(&["--colour", "hosts"], 2)]
+#[case::no_revision(&["change", "submit", "x.ini"], 2)]
+#[case::help(&["--help"], 0)]
+fn arguments_are_checked(#[case] arguments: &[&str], #[case] exit: i32) {
+    assert_eq!(tool::run(arguments).code, exit);
+}
