--- /dev/null
+++ b/crates/anvillift-gateway/src/forward/event_stream.rs
@@ -0,0 +1,52 @@
+//! The end of an answer towards its caller: the deadline, and the error event
+//! of a stream that broke off.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use anvillift_schema::code::Code;
+use anvillift_schema::name::Name;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt};
+use tokio::time::{self, Instant, Sleep};
+
+use crate::answer::{Answer, AnswerStream};
+use crate::problem::Refusal;
+
+/// Ends a body at its deadline, and a broken event stream with an error event.
+pub(crate) fn end_with_error_event(answer: Answer, id: Name, deadline: Instant) -> Answer {
+    let is_event_stream = answer.is_event_stream();
+    answer.map_stream(|body| {
+        let bounded = Bounded { body: Some(body), deadline: Box::pin(time::sleep_until(deadline)) };
+        if !is_event_stream {
+            return Box::pin(bounded);
+        }
+        Box::pin(bounded.map(move |item| match item {
+            Err(code) => Ok(Bytes::from(Refusal::from(code).error_event(Some(&id)))),
+            whole => whole,
+        }))
+    })
+}
+
+/// A body until it ends, breaks off or the deadline passes.
+struct Bounded {
+    body: Option<AnswerStream>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl Stream for Bounded {
+    type Item = Result<Bytes, Code>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let Some(body) = self.body.as_mut() else { return Poll::Ready(None) };
+        let item = match body.poll_next_unpin(cx) {
+            Poll::Ready(item) => item,
+            Poll::Pending if self.deadline.as_mut().poll(cx).is_pending() => return Poll::Pending,
+            Poll::Pending => Some(Err(Code::UpstreamTimeout)),
+        };
+        if !matches!(item, Some(Ok(_))) {
+            self.body = None;
+        }
+        Poll::Ready(item)
+    }
+}
