--- /dev/null
+++ b/crates/anvillift-ledger/tests/schedules.rs
@@ -0,0 +1,350 @@
+//! Seeded schedules of attempts, crashes, freezes, and lost, late and doubled proposals.
+
+use std::collections::BTreeMap;
+
+use anvillift_ledger::attempt::{Answer, Attempt, AttemptSettings, NoVerdict, SendResult, Step};
+use anvillift_ledger::machine::{Machine, MachineSettings};
+use anvillift_schema::code::Code;
+use anvillift_schema::ledger::{LedgerOperation, LedgerVerdict};
+use anvillift_schema::name::Name;
+use anvillift_schema::public::Outcome;
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const KEYS: usize = 2;
+const STEPS: usize = 400;
+const DISPATCH_WITHIN_MS: u64 = 2_000;
+const ISSUED_UNIX_MS: u64 = 1_790_000_000_000;
+const RETENTION_MS: u64 = 600_000;
+
+#[derive(Debug)]
+enum State {
+    /// Waits for the verdict on its reservation.
+    Reserving(Attempt),
+    /// May send, and has not.
+    Ready(Attempt),
+    /// Has sent; the command runs, ran or never will.
+    Sent(Attempt),
+    /// The host knows no more of it, or it has answered.
+    Over,
+}
+
+#[derive(Clone, Debug)]
+struct Proposal {
+    attempt: usize,
+    operation: LedgerOperation,
+}
+
+struct World {
+    rng: SmallRng,
+    now_ms: u64,
+    machine: Machine,
+    attempts: Vec<(usize, State)>,
+    proposals: Vec<Proposal>,
+    verdicts: Vec<(usize, LedgerVerdict)>,
+    runs: BTreeMap<usize, Vec<usize>>,
+    /// Commands on their way to the upstream.
+    in_flight: Vec<usize>,
+    told: BTreeMap<usize, Answer>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut machine = Machine::new(MachineSettings::default());
+        machine.apply(LedgerOperation::Expire { now_unix_ms: ISSUED_UNIX_MS - 1 });
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            now_ms: 0,
+            machine,
+            attempts: Vec::new(),
+            proposals: Vec::new(),
+            verdicts: Vec::new(),
+            runs: BTreeMap::new(),
+            in_flight: Vec::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += self.rng.random_range(0..100);
+        match self.rng.random_range(0..100) {
+            0..12 => self.start(),
+            12..35 => self.apply_proposal(),
+            35..38 => drop(self.take_proposal()),
+            38..58 => self.hear_verdict(),
+            58..61 => self.time_out(),
+            61..76 => self.send(),
+            76..86 => self.arrive(),
+            86..92 => self.hear_answer(),
+            92..94 => self.crash(),
+            94..97 => self.now_ms += self.rng.random_range(0..2 * DISPATCH_WITHIN_MS),
+            97..99 => self.restore(),
+            _ => self.expire(),
+        }
+    }
+
+    fn start(&mut self) {
+        let number = self.attempts.len();
+        let key = self.rng.random_range(0..KEYS);
+        let settings = AttemptSettings {
+            key_hash: format!("key-{key}"),
+            body_hash: "body".to_owned(),
+            attempt: Name::from(format!("attempt-{number}")),
+            holder: Name::from(format!("host#{number}")),
+            issued_unix_ms: ISSUED_UNIX_MS,
+            retention_ms: RETENTION_MS,
+            dispatch_within_ms: DISPATCH_WITHIN_MS,
+        };
+        let attempt = Attempt::new(settings, self.now_ms);
+        self.proposals.push(Proposal { attempt: number, operation: attempt.reservation() });
+        self.attempts.push((key, State::Reserving(attempt)));
+    }
+
+    fn take_proposal(&mut self) -> Option<Proposal> {
+        if self.proposals.is_empty() {
+            return None;
+        }
+        let position = self.rng.random_range(0..self.proposals.len());
+        Some(self.proposals.swap_remove(position))
+    }
+
+    /// Applies a proposal out of order, now and then twice, and loses some verdicts.
+    fn apply_proposal(&mut self) {
+        let Some(proposal) = self.take_proposal() else { return };
+        if self.rng.random_range(0..5) == 0 {
+            self.proposals.push(proposal.clone());
+        }
+        let reserves = matches!(proposal.operation, LedgerOperation::Reserve { .. });
+        let verdict = self.machine.apply(proposal.operation);
+        if reserves && self.rng.random_range(0..10) > 0 {
+            self.verdicts.push((proposal.attempt, verdict));
+        }
+    }
+
+    fn hear_verdict(&mut self) {
+        if self.verdicts.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.verdicts.len());
+        let (number, verdict) = self.verdicts.swap_remove(position);
+        // Whether a holder seems silent is a guess, and may be wrong.
+        let silent = self.rng.random_range(0..2) == 0;
+        self.conclude_reservation(number, Ok(verdict), silent);
+    }
+
+    fn time_out(&mut self) {
+        let waiting =
+            |(_, (_, state)): &(usize, &(usize, State))| matches!(state, State::Reserving(_));
+        let number = self.attempts.iter().enumerate().find(waiting).map(|(number, _)| number);
+        if let Some(number) = number {
+            self.conclude_reservation(number, Err(NoVerdict::Unknown), false);
+        }
+    }
+
+    fn conclude_reservation(
+        &mut self,
+        number: usize,
+        verdict: Result<LedgerVerdict, NoVerdict>,
+        silent: bool,
+    ) {
+        let (_, state) = &mut self.attempts[number];
+        match std::mem::replace(state, State::Over) {
+            State::Reserving(mut attempt) => {
+                match attempt.reserved(self.now_ms, verdict, |_| silent) {
+                    Step::Send => self.attempts[number].1 = State::Ready(attempt),
+                    step => self.finish(number, step),
+                }
+            }
+            other => *state = other,
+        }
+    }
+
+    fn send(&mut self) {
+        let ready = |(_, (_, state)): &(usize, &(usize, State))| matches!(state, State::Ready(_));
+        let number = self.attempts.iter().enumerate().find(ready).map(|(number, _)| number);
+        let Some(number) = number else { return };
+        let (_, state) = &mut self.attempts[number];
+        let State::Ready(mut attempt) = std::mem::replace(state, State::Over) else { return };
+        match attempt.check_deadline(self.now_ms) {
+            Step::Send if self.rng.random_range(0..6) == 0 => {
+                let step = attempt.sent(SendResult::NotSent);
+                self.finish(number, step);
+            }
+            Step::Send => {
+                self.in_flight.push(number);
+                self.attempts[number].1 = State::Sent(attempt);
+            }
+            step => self.finish(number, step),
+        }
+    }
+
+    /// The upstream runs a command, or it is lost on the way.
+    fn arrive(&mut self) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.in_flight.len());
+        let number = self.in_flight.swap_remove(position);
+        if self.rng.random_range(0..8) > 0 {
+            let key = self.attempts[number].0;
+            self.runs.entry(key).or_default().push(number);
+        }
+    }
+
+    fn hear_answer(&mut self) {
+        let sent = |(_, (_, state)): &(usize, &(usize, State))| matches!(state, State::Sent(_));
+        let number = self.attempts.iter().enumerate().find(sent).map(|(number, _)| number);
+        let Some(number) = number else { return };
+        let key = self.attempts[number].0;
+        let ran = self.runs.get(&key).is_some_and(|runs| runs.contains(&number));
+        let result = match self.rng.random_range(0..4) {
+            0 => SendResult::Broke,
+            1 => SendResult::TimedOut,
+            _ if ran => SendResult::Answered { status: 200, answer_hash: format!("by-{number}") },
+            _ => return,
+        };
+        let (_, state) = &mut self.attempts[number];
+        let State::Sent(mut attempt) = std::mem::replace(state, State::Over) else { return };
+        let step = attempt.sent(result);
+        self.finish(number, step);
+    }
+
+    /// The host of an attempt dies and knows nothing of it any more.
+    fn crash(&mut self) {
+        if !self.attempts.is_empty() {
+            let number = self.rng.random_range(0..self.attempts.len());
+            self.attempts[number].1 = State::Over;
+        }
+    }
+
+    fn restore(&mut self) {
+        let snapshot = self.machine.snapshot();
+        let mut restored = Machine::new(MachineSettings::default());
+        restored.restore(&snapshot).expect("snapshot decodes");
+        self.machine = restored;
+    }
+
+    fn expire(&mut self) {
+        if self.rng.random_range(0..3) == 0 {
+            let now_unix_ms = ISSUED_UNIX_MS + RETENTION_MS;
+            self.machine.apply(LedgerOperation::Expire { now_unix_ms });
+        }
+    }
+
+    fn finish(&mut self, number: usize, step: Step) {
+        let Step::Finish { answer, settle } = step else { panic!("sends after its end") };
+        self.told.insert(number, answer);
+        if let Some(operation) = settle {
+            self.proposals.push(Proposal { attempt: number, operation });
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (key, runs) in &self.runs {
+            prop_assert!(runs.len() <= 1, "key {key} ran by {runs:?}");
+        }
+        for (number, answer) in &self.told {
+            let key = self.attempts[*number].0;
+            let runs = self.runs.get(&key).map(Vec::as_slice).unwrap_or_default();
+            let ran = runs.contains(number);
+            match answer {
+                Answer::Refused { outcome: Outcome::NotRun, code } => {
+                    prop_assert!(!ran, "{number} was told {code:?}, not run, and ran");
+                    prop_assert!(!self.in_flight.contains(number), "{number} may yet run");
+                }
+                Answer::Refused { .. } => {}
+                Answer::Whole => prop_assert!(ran),
+                Answer::Replay { answer_hash, .. } => {
+                    prop_assert_eq!(answer_hash, &format!("by-{}", runs[0]));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A key runs at most once, and `not_run` is true.
+    #[test]
+    fn a_key_runs_at_most_once(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+            world.check()?;
+        }
+    }
+}
+
+/// The schedules do reach what they are meant for.
+#[test]
+fn schedules_reach_every_end() {
+    let mut reached = BTreeMap::<String, usize>::new();
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        (0..STEPS).for_each(|_| world.step());
+        for answer in world.told.values() {
+            let end = match answer {
+                Answer::Refused { code, .. } => format!("{code:?}"),
+                Answer::Whole => "Whole".to_owned(),
+                Answer::Replay { .. } => "Replay".to_owned(),
+            };
+            *reached.entry(end).or_default() += 1;
+        }
+    }
+    let ends = [
+        "Whole",
+        "Replay",
+        "CommandInProgress",
+        "CommandUnknown",
+        "CommandExpired",
+        "LedgerUnavailable",
+        "DispatchTooLate",
+        "UpstreamUnreachable",
+        "UpstreamBroke",
+    ];
+    for end in ends {
+        assert!(reached.contains_key(end), "{end} is not reached: {reached:?}");
+    }
+}
+
+fn attempt(started_ms: u64) -> Attempt {
+    let settings = AttemptSettings {
+        key_hash: "k".to_owned(),
+        attempt: Name::from("a"),
+        holder: Name::from("h#1"),
+        dispatch_within_ms: DISPATCH_WITHIN_MS,
+        ..AttemptSettings::default()
+    };
+    Attempt::new(settings, started_ms)
+}
+
+#[test]
+fn a_host_woken_past_its_deadline_sends_nothing_and_says_so() {
+    let mut attempt = attempt(1_000);
+    let reserved = Ok(LedgerVerdict::Reserved(true));
+    assert_eq!(attempt.reserved(1_010, reserved, |_| false), Step::Send);
+    let Step::Finish { answer, settle } = attempt.check_deadline(1_001 + DISPATCH_WITHIN_MS) else {
+        panic!("sends past its deadline");
+    };
+    let refused = Answer::Refused { code: Code::DispatchTooLate, outcome: Outcome::NotRun };
+    assert_eq!(answer, refused);
+    assert!(matches!(settle, Some(LedgerOperation::Abandon { not_run: true, .. })));
+    assert_ne!(attempt.check_deadline(1_010), Step::Send);
+}
+
+#[test]
+fn a_silent_holder_makes_the_key_unknown_and_never_free() {
+    let mut attempt = attempt(0);
+    let other = LedgerVerdict::InProgress { attempt: Name::from("b"), holder: Name::from("g#1") };
+    let step = attempt.reserved(10, Ok(other), |holder| *holder == Name::from("g#1"));
+    let Step::Finish { answer, settle } = step else { panic!("sends") };
+    let refused = Answer::Refused { code: Code::CommandUnknown, outcome: Outcome::Unknown };
+    assert_eq!(answer, refused);
+    let Some(LedgerOperation::Abandon { attempt, not_run, .. }) = settle else {
+        panic!("does not settle")
+    };
+    assert_eq!((attempt, not_run), (Name::from("b"), false));
+}
--- a/crates/anvillift-membership/src/members.rs
+++ b/crates/anvillift-membership/src/members.rs
@@ -6,7 +6,7 @@
 mod far;
 mod near;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use anvillift_schema::membership::{HostRecord, HostState, MembershipMessage};
 use anvillift_schema::name::Name;
@@ -49,8 +49,6 @@
     sequence: u64,
     told_checksum: Option<u32>,
     told_rosters: BTreeMap<Name, u32>,
-    /// Data centres that the own host told of the last roster as a delegate.
-    spoken_to: BTreeSet<Name>,
 }
 
 impl Members {
@@ -86,7 +84,6 @@
             sequence: seed % 2,
             told_checksum: None,
             told_rosters: BTreeMap::new(),
-            spoken_to: BTreeSet::new(),
             settings,
         }
     }
--- a/crates/anvillift-membership/src/members/far.rs
+++ b/crates/anvillift-membership/src/members/far.rs
@@ -1,7 +1,5 @@
 //! Digests between data centres.
 
-use std::collections::BTreeSet;
-
 use anvillift_schema::membership::{Digest, HostRecord, MembershipMessage, Roster, Summary};
 use anvillift_schema::name::Name;
 
@@ -54,27 +52,19 @@
         let digest = self.digest(now_ms, roster, checksum);
         let mut sent = Vec::new();
         let alive: Vec<&Name> = roster.hosts.iter().map(|host| &host.host).collect();
-        let mut spoken_to = BTreeSet::new();
         for (centre, hosts) in &self.far {
             let speakers = rank::delegates(&alive, self.centre_number(centre));
-            let rank = speakers.iter().position(|host| **host == self.own.host);
-            // A delegate whose place has gone takes back what it said before.
-            let retracts = changed && self.spoken_to.contains(centre);
-            if rank.is_none() && !retracts {
+            let Some(rank) = speakers.iter().position(|host| **host == self.own.host) else {
                 continue;
-            }
-            if rank.is_some() {
-                spoken_to.insert(centre.clone());
-            }
+            };
             let untold = self.told_rosters.get(centre) != Some(&checksum);
             let attached = untold.then(|| roster.clone());
             self.told_rosters.insert(centre.clone(), checksum);
-            let turn = rank.unwrap_or(0) + self.sequence as usize;
+            let turn = rank + self.sequence as usize;
             for to in self.receivers(now_ms, centre, hosts, turn, changed) {
                 sent.push(self.summary_to(now_ms, &to, digest.clone(), attached.clone()));
             }
         }
-        self.spoken_to = spoken_to;
         sent
     }
 
--- a/crates/anvillift-membership/tests/faults.rs
+++ b/crates/anvillift-membership/tests/faults.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use anvillift_membership::directory;
-use anvillift_schema::membership::HostState;
+use anvillift_schema::membership::{HostState, MembershipMessage};
 use anvillift_schema::name::Name;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -130,6 +130,31 @@
     }
 }
 
+/// A heartbeat with a record, sent at `sent_ms` of the sender's own clock.
+fn beat(network: &Network, host: usize, incarnation: u64, sent_ms: u64) -> MembershipMessage {
+    let mut record = network.view(host).hosts[&host_name(host)].record.clone();
+    record.incarnation = incarnation;
+    let message = serde_json::json!({ "beat": {
+        "head": [incarnation, sent_ms, 1, 0, 0],
+        "record": record,
+    }});
+    serde_json::from_value(message).expect("a heartbeat")
+}
+
+#[test]
+fn a_newer_incarnation_counts_whatever_its_clock_and_an_older_one_never() {
+    let mut network = today(wide_area(), 12);
+    let (name, now_ms) = (host_name(3), network.now_ms);
+    let old = network.host(3).settings.incarnation;
+    let newer = beat(&network, 3, old + 1, 7);
+    network.host(0).members.receive(now_ms, &name, newer);
+    let seen = |network: &Network| network.view(0).hosts[&name].record.incarnation;
+    assert_eq!(seen(&network), old + 1);
+    let older = beat(&network, 3, old, now_ms + 50);
+    network.host(0).members.receive(now_ms + 50, &name, older);
+    assert_eq!(seen(&network), old + 1);
+}
+
 #[test]
 fn messages_of_a_frozen_relay_do_not_revive_a_dead_host() {
     let mut network = today(wide_area(), 8);
