Resume the test's cut stream at what the client has received

Cause: under load (load average 60) the stand-in's reset overtook an event, so that the client had got fewer than the three events sent before the cut. Ruled out: a lost event inside the engine (the joined answer is compared whole). Change: the test counts received events, at most three, and resumes there; the whole answer is still compared event by event. Conclusion: as strict about resumption, and independent of timing.

--- a/crates/anvillift-bench/tests/engine.rs
+++ b/crates/anvillift-bench/tests/engine.rs
@@ -85,9 +85,11 @@
         head.extend_from_slice(&bytes);
     }
     let head = String::from_utf8(head).unwrap();
-    assert_eq!(data_events(&head).len(), 3);
+    // A reset may overtake bytes on the way, so the client counts what it has got.
+    let received = data_events(&head).len();
+    assert!(received <= 3, "{received} events came from a stream cut after 3");
     engine.set_mode(EngineMode::default());
-    let rest = ask().header("Anvillift-Resume-Offset", "3").send().await.unwrap();
+    let rest = ask().header("Anvillift-Resume-Offset", received.to_string()).send().await.unwrap();
     let rest = rest.text().await.unwrap();
     let joined: Vec<&str> = data_events(&head).into_iter().chain(data_events(&rest)).collect();
     let tokens = |events: &[&str]| events[..8].join("\n");
