Check more of the log core's rules in its harness

Cause: some mechanisms could be removed without a test failing. Change: checks of each change of the voters, of commitments that go back, and tests of restarts under a lease, reads without a lease, old syncs and partly fetched logs.

--- a/crates/anvillift-consensus/tests/testsuite/harness/checks.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/checks.rs
@@ -1,6 +1,6 @@
 //! What must hold at every moment of a schedule.
 
-use anvillift_consensus::{AnswerError, RoleKind};
+use anvillift_consensus::{AnswerError, Replica, RoleKind};
 use anvillift_schema::consensus::{
     ConsensusEnvelope, ConsensusMessage, Entry, EntryBody, Vote, Voter, VoterSet,
 };
@@ -59,6 +59,7 @@
         let node = self.nodes.get_mut(name).unwrap();
         let Some(replica) = &node.replica else { return };
         let status = replica.status();
+        assert!(status.commit_index >= node.checked_index, "{name} went back");
         let range = node.checked_index + 1..=status.commit_index;
         let entries: Vec<Entry> = range.filter_map(|index| replica.entry(index)).cloned().collect();
         node.checked_index = status.commit_index;
@@ -114,3 +115,22 @@
         }
     }
 }
+
+/// A change of the voters is begun only when the one before it and an entry of
+/// the own term are committed, and changes one voter.
+pub(super) fn check_change(replica: Option<&Replica>, entries: &[Entry]) {
+    let (Some(replica), [entry]) = (replica, entries) else { return };
+    let EntryBody::Voters(voters) = &entry.body else { return };
+    let status = replica.status();
+    if status.role != RoleKind::Leader || entry.index == 1 {
+        return;
+    }
+    let before = replica.voters_at(entry.index - 1);
+    let added = voters.voters.iter().filter(|voter| !before.voters.contains(voter)).count();
+    let removed = before.voters.iter().filter(|voter| !voters.voters.contains(voter)).count();
+    assert!(added + removed <= 1, "more than one voter changes at {}", entry.index);
+    let committed = replica.voters_at(status.commit_index);
+    assert_eq!(before, committed, "a change is begun before the last is committed");
+    let own_term = replica.term_at(status.commit_index) == Some(status.term);
+    assert!(own_term, "a change is begun before the term's first entry is committed");
+}
--- a/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
@@ -3,6 +3,8 @@
 
 mod checks;
 
+use checks::check_change;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -236,6 +238,7 @@
         let node = self.nodes.get_mut(name).unwrap();
         match effect {
             Effect::Append { entries } => {
+                check_change(node.replica.as_ref(), &entries);
                 node.written.append(entries);
                 node.unsynced = true;
             }
@@ -333,13 +336,14 @@
         request_id
     }
 
-    pub(crate) fn read(&mut self, name: &Name) {
+    pub(crate) fn read(&mut self, name: &Name) -> u64 {
         self.next_request += 1;
         let request_id = self.next_request;
         self.reads.insert(request_id, self.newest_answer());
         self.call(name, |replica, now_ms| {
             replica.read_barrier(now_ms, request_id).unwrap_or_default()
         });
+        request_id
     }
 
     /// Takes a snapshot of a replica's applied state.
@@ -362,6 +366,11 @@
         });
     }
 
+    /// Whether a read has no answer yet.
+    pub(crate) fn read_waits(&self, request_id: u64) -> bool {
+        self.reads.contains_key(&request_id)
+    }
+
     /// What an operator does about hosts that came back with another disk.
     pub(crate) fn repair(&mut self) {
         let Some(leader) = self.leader() else { return };
--- a/crates/anvillift-consensus/tests/testsuite/leadership.rs
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -185,3 +185,94 @@
     assert!(cluster.is_whole());
     assert!(cluster.leader().is_some());
 }
+
+#[test]
+fn a_restart_does_not_break_the_promise_of_a_lease() {
+    let (mut cluster, leader) = working(3, SEED);
+    let restarted = follower(&cluster, &leader);
+    let third = cluster.nodes.keys().find(|name| **name != leader && **name != restarted);
+    let third = third.expect("a third host").clone();
+    cluster.cut.insert((leader.clone(), third.clone()));
+    cluster.cut.insert((third.clone(), leader.clone()));
+    cluster.run(30);
+    for _ in 0..30 {
+        cluster.run(3);
+        cluster.stop(&restarted);
+        cluster.start(&restarted);
+    }
+    assert_eq!(cluster.leader(), Some(leader));
+}
+
+#[test]
+fn a_read_waits_for_a_proof_of_leadership_once_the_lease_is_over() {
+    let (mut cluster, _) = working(3, SEED);
+    cluster.settings.clock_drift_milli = 900;
+    for name in cluster.nodes.keys().cloned().collect::<Vec<_>>() {
+        cluster.stop(&name);
+        cluster.start(&name);
+    }
+    cluster.run(100);
+    let leader = cluster.leader().expect("a leader");
+    isolate(&mut cluster, &leader);
+    cluster.run(4);
+    assert!(!replica(&cluster, &leader).may_serve_reads(cluster.now_ms));
+    let read = cluster.read(&leader);
+    assert!(cluster.read_waits(read));
+    cluster.cut.clear();
+    cluster.run(4);
+    assert!(!cluster.read_waits(read));
+}
+
+#[rstest]
+fn entries_are_not_counted_by_an_old_sync(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let (mut cluster, first) = working(3, seed);
+    isolate(&mut cluster, &first);
+    for _ in 0..8 {
+        cluster.propose(&first);
+        cluster.sync(&first);
+    }
+    cluster.run(60);
+    cluster.cut.clear();
+    cluster.run(60);
+    // The first leader's own entries are gone; it leads again with a shorter log.
+    for _ in 0..20 {
+        let leader = cluster.leader().expect("a leader");
+        if leader == first {
+            break;
+        }
+        cluster.call(&leader, |replica, now_ms| replica.transfer_leadership(now_ms));
+        cluster.run(60);
+    }
+    assert_eq!(cluster.leader(), Some(first.clone()));
+    for _ in 0..8 {
+        cluster.propose(&first);
+        cluster.run(1);
+    }
+    cluster.run(20);
+}
+
+#[rstest]
+fn a_log_fetched_again_in_part_gives_no_vote(#[values(1, 2, 3, 4, 5, 6, 8, 10)] ticks: u32) {
+    let (mut cluster, leader) = working(3, SEED);
+    let damaged = follower(&cluster, &leader);
+    let third = cluster.nodes.keys().find(|name| **name != leader && **name != damaged);
+    let third = third.expect("a third host").clone();
+    for _ in 0..6 {
+        cluster.propose(&leader);
+    }
+    cluster.run(20);
+    isolate(&mut cluster, &third);
+    for _ in 0..30 {
+        cluster.propose(&leader);
+    }
+    cluster.run(30);
+    cluster.damage(&damaged, 0);
+    cluster.start(&damaged);
+    cluster.run(ticks);
+    cluster.stop(&leader);
+    cluster.cut.clear();
+    cluster.run(200);
+    cluster.start(&leader);
+    cluster.run(200);
+    assert!(cluster.is_whole() && cluster.leader().is_some());
+}
