Test links: proof, credits, classes, ends and breaks

Cause: the links had only been tested by the way through three regions. Change: tests over real sockets and a relay that stops passing bytes on.

--- /dev/null
+++ b/crates/anvillift-mesh/tests/testsuite/credits.rs
@@ -0,0 +1,66 @@
+//! Credits bound what a stream has under way.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anvillift_mesh::IncomingStream;
+use anvillift_schema::link::LinkClass;
+use bytes::Bytes;
+use tokio::time;
+
+use crate::pair;
+
+const CREDIT_BYTES: u64 = 32 * 1024;
+const CHUNK_BYTES: usize = 1000;
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Sends an endless answer and counts what it was allowed to send.
+async fn endless(stream: IncomingStream, sent_bytes: Arc<AtomicU64>) {
+    let mut sender = stream.answer.answer(pair::answer_head());
+    let chunk = Bytes::from(vec![7; CHUNK_BYTES]);
+    while sender.send(chunk.clone()).await.is_ok() {
+        sent_bytes.fetch_add(CHUNK_BYTES as u64, Ordering::SeqCst);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_reader_stops_its_own_stream_only() {
+    let sent_bytes: Arc<AtomicU64> = Arc::default();
+    let counter = sent_bytes.clone();
+    let (a, _b, _messages) = pair::linked(move |stream| endless(stream, counter.clone())).await;
+    let b = "b".into();
+    let slow = a.open(&b, LinkClass::Bulk, pair::head(), Bytes::new()).await.expect("slow");
+    time::sleep(SETTLE).await;
+    assert!(sent_bytes.load(Ordering::SeqCst) <= CREDIT_BYTES);
+    let mut quick = a.open(&b, LinkClass::Bulk, pair::head(), Bytes::new()).await.expect("quick");
+    let mut read_bytes = 0;
+    while read_bytes < 50 * CREDIT_BYTES {
+        read_bytes += quick.body.next().await.expect("item").expect("bytes").len() as u64;
+    }
+    drop(slow);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_body_waits_for_its_reader() {
+    let (body_tx, mut body_rx) = tokio::sync::mpsc::unbounded_channel();
+    let (a, _b, _messages) = pair::linked(move |stream: IncomingStream| {
+        let body_tx = body_tx.clone();
+        async move {
+            let IncomingStream { mut body, answer, .. } = stream;
+            time::sleep(SETTLE).await;
+            let mut whole = Vec::new();
+            while let Some(item) = body.next().await {
+                whole.extend_from_slice(&item.expect("bytes"));
+            }
+            let _ = body_tx.send(whole);
+            answer.answer(pair::answer_head()).finish();
+        }
+    })
+    .await;
+    let body: Vec<u8> = (0..300_000_u32).map(|number| number as u8).collect();
+    let opened = a.open(&"b".into(), LinkClass::Bulk, pair::head(), body.clone().into()).await;
+    let mut answer = opened.expect("answer");
+    assert!(answer.body.next().await.is_none());
+    assert_eq!(body_rx.recv().await.expect("body"), body);
+}
--- /dev/null
+++ b/crates/anvillift-mesh/tests/testsuite/main.rs
@@ -0,0 +1,9 @@
+//! Tests of links over real sockets.
+
+mod calls;
+mod classes;
+mod credits;
+mod pair;
+mod proof;
+mod relay;
+mod streams;
--- /dev/null
+++ b/crates/anvillift-mesh/tests/testsuite/pair.rs
@@ -0,0 +1,129 @@
+//! Two meshes with a link between them.
+
+use std::collections::BTreeMap;
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use anvillift_mesh::{IncomingStream, Mesh, MeshInbox, MeshSettings};
+use anvillift_schema::link::{AnswerHead, ForwardHead, PeerAnswer, PeerMessage};
+use anvillift_schema::name::Name;
+use anvillift_schema::settings::{Identity, PeerSettings};
+use futures_util::future::BoxFuture;
+use tokio::sync::mpsc;
+use tokio::time::{self, Instant};
+
+const LINK_PORT: u16 = 7102;
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Polls a condition until it holds.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !holds() {
+        assert!(Instant::now() < limit, "timed out waiting until {what}");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A loopback address that no other test uses.
+pub(crate) fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = process::id();
+    format!("127.{}.{}.{number}:{LINK_PORT}", 64 + (process >> 8) % 128, process & 0xff)
+}
+
+/// Settings of the hosts `a` and `b`; `a` dials `b` at the given address.
+pub(crate) fn settings(dialled: &str) -> (MeshSettings, MeshSettings) {
+    let peer = |link: &str| PeerSettings {
+        region: "oriente".into(),
+        data_centre: "zacapa-a".into(),
+        link: link.to_owned(),
+    };
+    let peers = BTreeMap::from([("a".into(), peer("")), ("b".into(), peer(dialled))]);
+    let of = |name: &str| MeshSettings {
+        identity: Identity {
+            name: name.into(),
+            region: "oriente".into(),
+            data_centre: "zacapa-a".into(),
+        },
+        peers: peers.clone(),
+        link_key: "link-key".to_owned(),
+        listen: own_address(),
+        ..MeshSettings::default()
+    };
+    (of("a"), of("b"))
+}
+
+type Serving = Arc<dyn Fn(IncomingStream) -> BoxFuture<'static, ()> + Send + Sync>;
+
+/// An inbox that gives messages to a channel, refuses calls and serves streams with a closure.
+pub(crate) fn inbox<F>(
+    serving: impl Fn(IncomingStream) -> F + Send + Sync + 'static,
+) -> (MeshInbox, mpsc::UnboundedReceiver<(Name, PeerMessage)>)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (message_tx, message_rx) = mpsc::unbounded_channel();
+    let open: Serving = Arc::new(move |stream| Box::pin(serving(stream)));
+    let inbox = MeshInbox {
+        message: Arc::new(move |from, message| {
+            let _ = message_tx.send((from, message));
+        }),
+        call: Arc::new(|_, _| {
+            Box::pin(async {
+                PeerAnswer::Refused { code: 1604, leader: Some("c".into()), retry_after_ms: 7 }
+            })
+        }),
+        open,
+    };
+    (inbox, message_rx)
+}
+
+/// Starts `a` and `b` and waits for their link.
+pub(crate) async fn linked<F>(
+    serving: impl Fn(IncomingStream) -> F + Send + Sync + 'static,
+) -> (Mesh, Mesh, mpsc::UnboundedReceiver<(Name, PeerMessage)>)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (a, mut b) = settings(&own_address());
+    b.listen = a.peers["b"].link.clone();
+    let (b, messages) = {
+        let (inbox, messages) = inbox(serving);
+        (Mesh::start(b, inbox).await.expect("start"), messages)
+    };
+    let a = Mesh::start(a, inbox(refuse).0).await.expect("start");
+    up(&a).await;
+    (a, b, messages)
+}
+
+/// Waits until the link of a mesh is up.
+pub(crate) async fn up(mesh: &Mesh) {
+    until("the link is up", || mesh.linked().len() == 1).await;
+}
+
+/// Drops a stream unserved.
+pub(crate) async fn refuse(_stream: IncomingStream) {}
+
+pub(crate) fn head() -> ForwardHead {
+    ForwardHead {
+        request_id: "r".into(),
+        attempt: "t".into(),
+        service: "s".into(),
+        team: "zacapa".into(),
+        home: None,
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body_bytes: None,
+        hops: Vec::new(),
+        deadline_ms: 1000,
+        revision: 0,
+    }
+}
+
+pub(crate) fn answer_head() -> AnswerHead {
+    AnswerHead { status: 200, headers: Vec::new() }
+}
--- /dev/null
+++ b/crates/anvillift-mesh/tests/testsuite/proof.rs
@@ -0,0 +1,112 @@
+//! Who gets a link.
+
+use std::time::Duration;
+
+use anvillift_mesh::{Mesh, MeshSettings};
+use anvillift_schema::link::{LinkFrame, PeerMessage};
+use anvillift_schema::payload::Payload;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use rstest::rstest;
+use tokio::time;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::pair;
+
+/// Longer than several dials.
+const SEVERAL_DIALS: Duration = Duration::from_millis(700);
+
+fn other_key(settings: &mut MeshSettings) {
+    settings.link_key = "another".to_owned();
+}
+
+fn other_name(settings: &mut MeshSettings) {
+    settings.identity.name = "aa".into();
+}
+
+fn other_region(settings: &mut MeshSettings) {
+    settings.identity.region = "altiplano".into();
+}
+
+#[rstest]
+#[case::wrong_key(other_key)]
+#[case::unknown_name(other_name)]
+#[case::wrong_region(other_region)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_is_not_in_the_settings_gets_no_link(
+    #[case] change: impl Fn(&mut MeshSettings),
+) {
+    let address = pair::own_address();
+    let (mut a, mut b) = pair::settings(&address);
+    b.listen = address;
+    change(&mut a);
+    let (inbox, mut messages) = pair::inbox(pair::refuse);
+    let b = Mesh::start(b, inbox).await.expect("start");
+    let a = Mesh::start(a, pair::inbox(pair::refuse).0).await.expect("start");
+    time::sleep(SEVERAL_DIALS).await;
+    assert!(a.linked().is_empty());
+    assert!(b.linked().is_empty());
+    assert!(messages.try_recv().is_err());
+}
+
+#[rstest]
+#[case::no_proof(None)]
+#[case::wrong_proof(Some(Vec::new()))]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dialler_without_the_key_gets_neither_proof_nor_link(#[case] mac: Option<Vec<u8>>) {
+    let address = pair::own_address();
+    let (_, mut b) = pair::settings(&address);
+    b.listen = address.clone();
+    let (inbox, mut messages) = pair::inbox(pair::refuse);
+    let b = Mesh::start(b, inbox).await.expect("start");
+    let url = format!("ws://{address}/link");
+    let tcp = tokio::net::TcpStream::connect(&address).await.expect("connect");
+    let (mut socket, _) = tokio_tungstenite::client_async(url, tcp).await.expect("socket");
+    let hello = LinkFrame::Hello {
+        host: "a".into(),
+        region: "oriente".into(),
+        data_centre: "zacapa-a".into(),
+        incarnation: 1,
+        protocol: 1,
+        nonce: Payload::from(vec![0; 32]),
+    };
+    socket.send(encode(&hello)).await.expect("send");
+    let theirs = socket.next().await.expect("frame").expect("message").into_data();
+    assert!(matches!(decode(&theirs), LinkFrame::Hello { .. }));
+    if let Some(mac) = mac {
+        let proof = LinkFrame::Proof { mac: Payload::from(mac) };
+        socket.send(encode(&proof)).await.expect("send");
+    }
+    let message = PeerMessage::ConfigurationRequest { after_revision: 0 };
+    let _ = socket.send(encode(&LinkFrame::Peer(message))).await;
+    while let Some(Ok(received)) = socket.next().await {
+        assert!(!received.is_binary(), "{received:?}");
+    }
+    assert!(b.linked().is_empty());
+    assert!(messages.try_recv().is_err());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn garbage_does_not_stop_the_listener() {
+    use tokio::io::AsyncWriteExt;
+    let address = pair::own_address();
+    let (a, mut b) = pair::settings(&address);
+    b.listen = address.clone();
+    let _b = Mesh::start(b, pair::inbox(pair::refuse).0).await.expect("start");
+    for garbage in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xff; 4096], b""] {
+        let mut tcp = tokio::net::TcpStream::connect(&address).await.expect("connect");
+        let _ = tcp.write_all(garbage).await;
+    }
+    let a = Mesh::start(a, pair::inbox(pair::refuse).0).await.expect("start");
+    pair::up(&a).await;
+}
+
+fn encode(frame: &LinkFrame) -> Message {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(frame, &mut bytes).expect("encode");
+    Message::Binary(Bytes::from(bytes))
+}
+
+fn decode(bytes: &[u8]) -> LinkFrame {
+    ciborium::from_reader(bytes).expect("decode")
+}
