Run commands through the ledger of their home region

Cause: commands with an idempotency key were sent once a request, so a repeated key ran again. Ruled out: the entry host's region as home (a retry elsewhere would find another ledger); sending from the caller's task (a caller that leaves would end the command between its steps); the answer in the log (see the ledger's notes). Change: commands/ starts a replica of each ledger group that names the host, on disk where there is a data folder, proposes from any host by following leader hints, reserves before the first byte, sends on a fresh connection, records the outcome, keeps the whole answer on the replicas that the profile allows and replays it. A command whose home is elsewhere goes there in one hop; a reserved one that spills carries its key's hash, so that it is not reserved again. Code 1507 says that a command ran whose answer is no longer kept. Cache events reach the router from the whole data centre, once each. Conclusion: one run a key through several hosts, after a killed holder and without a majority.

--- /dev/null
+++ b/crates/anvillift-gateway/src/commands/dispatch.rs
@@ -0,0 +1,293 @@
+//! A command in its home region: reserve, send once, record.
+
+use std::sync::Arc;
+
+use anvillift_ledger::attempt::{self, Attempt, AttemptSettings, SendResult, Step};
+use anvillift_ledger::key;
+use anvillift_routing::decide::Decision;
+use anvillift_schema::code::Code;
+use anvillift_schema::event::Event;
+use anvillift_schema::ledger::{CommandKey, CommandOutcome};
+use anvillift_schema::name::Name;
+use anvillift_schema::payload::Payload;
+use anvillift_schema::public::Outcome;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use salvo::http::StatusCode;
+use uuid::Uuid;
+
+use super::{answers, expire, holder, proposal, settle};
+use crate::admission;
+use crate::answer::{Answer, AnswerBody};
+use crate::forward::failure::AttemptFailure;
+use crate::forward::{local, remote};
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::problem::Refusal;
+use crate::request::Request;
+
+/// When a caller may repeat a command that was refused, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// Largest answer of a command, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Runs a command with a key, or gives the outcome of an earlier attempt.
+pub(super) async fn run(
+    gateway: &Arc<Gateway>,
+    mut request: Request,
+    home: &Name,
+    key: &Name,
+) -> Answer {
+    let id = request.id.clone();
+    let settings = match attempt_settings(gateway, &request, home, key) {
+        Ok(settings) => settings,
+        Err(refusal) => return refusal.answer(Some(&id)),
+    };
+    if let Some(value) = headers::value(&settings.key_hash) {
+        request.headers.insert(headers::KEY_HASH, value);
+    }
+    // Where the command is sent, its key has done its work.
+    request.idempotency_key = None;
+    let key_hash = settings.key_hash.clone();
+    let attempt_id = settings.attempt.clone();
+    let mut attempt = Attempt::new(settings, gateway.now_ms());
+    let verdict = proposal::propose(gateway, home, &attempt.reservation()).await;
+    let is_silent = |holder: &Name| holder::is_silent(gateway, holder);
+    let mut step = attempt.reserved(gateway.now_ms(), verdict, is_silent);
+    let mut whole = None;
+    let mut retry_after_ms = RETRY_AFTER_MS;
+    if step == Step::Send {
+        let sent = send(gateway, &request, &mut attempt, &attempt_id).await;
+        (step, whole, retry_after_ms) = (sent.step, sent.whole, sent.retry_after_ms);
+    }
+    let Step::Finish { answer, settle } = step else {
+        return Refusal::from(Code::Internal).answer(Some(&id));
+    };
+    if let Some(whole) = &whole {
+        answers::store(gateway, home, &request.profile, &key_hash, &whole.outcome()).await;
+    }
+    if let Some(operation) = settle {
+        settle::record(gateway, home, operation).await;
+    }
+    match answer {
+        attempt::Answer::Whole => match whole {
+            Some(whole) => whole.answer,
+            None => Refusal::from(Code::Internal).answer(Some(&id)),
+        },
+        attempt::Answer::Replay { answer_hash, .. } => {
+            let kept =
+                answers::fetch(gateway, home, &request.profile, &key_hash, &answer_hash).await;
+            match kept {
+                Some(outcome) => replayed(gateway, outcome),
+                None => Refusal::from(Code::CommandRan).answer(Some(&id)),
+            }
+        }
+        attempt::Answer::Refused { code, outcome } => {
+            if outcome == Outcome::Unknown {
+                log::warn!(event = Event::CommandUnknown.number(); "command {id}: {code:?}");
+            }
+            refusal(code, outcome, retry_after_ms).answer(Some(&id))
+        }
+    }
+}
+
+fn attempt_settings(
+    gateway: &Gateway,
+    request: &Request,
+    home: &Name,
+    key: &Name,
+) -> Result<AttemptSettings, Refusal> {
+    let issued_unix_ms = key::issued_unix_ms(key, expire::unix_ms())
+        .map_err(|error| Refusal::with_detail(Code::MalformedRequest, error.to_string()))?;
+    let scope = CommandKey {
+        team: request.team.clone(),
+        service: request.service.clone(),
+        home: home.clone(),
+        key: key.clone(),
+    };
+    Ok(AttemptSettings {
+        key_hash: key::key_hash(&scope),
+        body_hash: key::body_hash(request.method.as_str(), &request.path, &request.body),
+        attempt: Name::from(Uuid::now_v7().to_string()),
+        holder: holder::own(gateway),
+        issued_unix_ms,
+        retention_ms: request.profile.command_retention_ms,
+        dispatch_within_ms: gateway.settings.timing.dispatch_deadline_ms,
+    })
+}
+
+/// A whole answer of the upstream.
+struct WholeAnswer {
+    answer: Answer,
+    body: Bytes,
+}
+
+impl WholeAnswer {
+    fn outcome(&self) -> CommandOutcome {
+        let content_type = headers::text(&self.answer.headers, "content-type");
+        CommandOutcome {
+            status: self.answer.status.as_u16(),
+            content_type: content_type.unwrap_or_default().to_owned(),
+            body: Payload::from(self.body.to_vec()),
+        }
+    }
+}
+
+/// What came of sending.
+struct Sent {
+    step: Step,
+    whole: Option<WholeAnswer>,
+    retry_after_ms: u64,
+}
+
+impl Sent {
+    fn without_answer(step: Step) -> Self {
+        Self { step, whole: None, retry_after_ms: RETRY_AFTER_MS }
+    }
+}
+
+/// Sends a reserved command. Another upstream is tried only while certainly
+/// nothing was sent.
+async fn send(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    attempt: &mut Attempt,
+    attempt_id: &Name,
+) -> Sent {
+    admission::first_attempt(gateway, request);
+    let mut tried = Vec::new();
+    loop {
+        let mut facts = request.facts(gateway.now_ms());
+        facts.tried = tried.clone();
+        let decision = {
+            let mut router = gateway.router.lock().expect("lock");
+            router.route(gateway.now_ms(), &mut facts, &request.profile)
+        };
+        if let Decision::Refuse { code, retry_after_ms } = decision {
+            return Sent { retry_after_ms, ..Sent::without_answer(attempt.give_up(code)) };
+        }
+        let (place, result) = match attempt.check_deadline(gateway.now_ms()) {
+            Step::Send => send_to(gateway, request, decision, attempt_id).await,
+            step => {
+                gateway.router.lock().expect("lock").finished(&request.service, place(&decision));
+                return Sent::without_answer(step);
+            }
+        };
+        gateway.router.lock().expect("lock").finished(&request.service, &place);
+        let failure = match result {
+            Ok(whole) => return answered(attempt, whole),
+            Err(failure) => failure,
+        };
+        tried.push(place);
+        let attempts = tried.len() as u32;
+        if failure.is_not_run() && admission::may_retry(gateway, request, &failure, attempts) {
+            continue;
+        }
+        return failed(attempt, &failure);
+    }
+}
+
+fn place(decision: &Decision) -> &Name {
+    match decision {
+        Decision::Local { upstream } => upstream,
+        Decision::Forward { data_centre, .. } => data_centre,
+        Decision::Refuse { .. } => unreachable!("a refusal has no place"),
+    }
+}
+
+async fn send_to(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    decision: Decision,
+    attempt_id: &Name,
+) -> (Name, Result<WholeAnswer, AttemptFailure>) {
+    let place = place(&decision).clone();
+    let answer = match decision {
+        Decision::Local { upstream } => {
+            local::attempt(gateway, request, &upstream, attempt_id).await
+        }
+        Decision::Forward { region, data_centre, host } => {
+            let target = remote::Target { region, data_centre, host };
+            remote::attempt(gateway, request, &target, attempt_id).await
+        }
+        Decision::Refuse { code, .. } => Err(AttemptFailure::not_run(code)),
+    };
+    let whole = match answer {
+        Ok(answer) => collect(gateway, request, answer).await,
+        Err(failure) => Err(failure),
+    };
+    (place, whole)
+}
+
+/// Reads the whole body of an answer.
+async fn collect(
+    gateway: &Gateway,
+    request: &Request,
+    answer: Answer,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let deadline = gateway.clock.instant(request.deadline_ms);
+    let mut stream = match answer.body {
+        AnswerBody::Whole(body) => {
+            let answer = Answer { body: AnswerBody::Whole(body.clone()), ..answer };
+            return Ok(WholeAnswer { answer, body });
+        }
+        AnswerBody::Stream(stream) => stream,
+    };
+    let mut collected = BytesMut::new();
+    loop {
+        let item = tokio::time::timeout_at(deadline, stream.next()).await;
+        match item.map_err(|_| AttemptFailure::unknown(Code::UpstreamTimeout))? {
+            Some(Ok(bytes)) if collected.len() + bytes.len() <= MAX_ANSWER_BYTES => {
+                collected.extend_from_slice(&bytes);
+            }
+            Some(_) => return Err(AttemptFailure::unknown(Code::UpstreamBroke)),
+            None => break,
+        }
+    }
+    let body = collected.freeze();
+    let answer = Answer {
+        status: answer.status,
+        headers: answer.headers,
+        body: AnswerBody::Whole(body.clone()),
+    };
+    Ok(WholeAnswer { answer, body })
+}
+
+fn answered(attempt: &mut Attempt, whole: WholeAnswer) -> Sent {
+    let outcome = whole.outcome();
+    let result =
+        SendResult::Answered { status: outcome.status, answer_hash: key::answer_hash(&outcome) };
+    Sent { whole: Some(whole), ..Sent::without_answer(attempt.sent(result)) }
+}
+
+fn failed(attempt: &mut Attempt, failure: &AttemptFailure) -> Sent {
+    let step = match (failure.outcome, failure.code) {
+        (Outcome::NotRun, code) => attempt.give_up(code),
+        (_, Code::UpstreamTimeout) => attempt.sent(SendResult::TimedOut),
+        _ => attempt.sent(SendResult::Broke),
+    };
+    let retry_after_ms = failure.retry_after_ms.unwrap_or(RETRY_AFTER_MS);
+    Sent { retry_after_ms, ..Sent::without_answer(step) }
+}
+
+fn replayed(gateway: &Gateway, outcome: CommandOutcome) -> Answer {
+    let body = Bytes::from(Vec::from(outcome.body));
+    let mut answer = Answer {
+        status: StatusCode::from_u16(outcome.status).unwrap_or(StatusCode::OK),
+        headers: salvo::http::HeaderMap::new(),
+        body: AnswerBody::Whole(body),
+    };
+    answer.set_header("content-type", &outcome.content_type);
+    answer.set_header(headers::OUTCOME, "ran");
+    answer.set_header(headers::ROUTE, &gateway.route_part());
+    answer
+}
+
+fn refusal(code: Code, outcome: Outcome, retry_after_ms: u64) -> Refusal {
+    let may_repeat = outcome == Outcome::NotRun || code == Code::CommandInProgress;
+    let final_codes = [Code::CommandMismatch, Code::CommandExpired];
+    let retry_after_ms =
+        Some(retry_after_ms).filter(|_| may_repeat && !final_codes.contains(&code));
+    Refusal { outcome, retry_after_ms, ..Refusal::from(code) }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/commands/expire.rs
@@ -0,0 +1,50 @@
+//! The time that goes into the logs of the ledgers.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anvillift_ledger::machine;
+use anvillift_replication::GroupHandle;
+use anvillift_schema::ledger::LedgerOperation;
+use tokio::time::{self, Instant};
+
+use super::groups::Groups;
+use crate::gateway::Gateway;
+
+/// Between two times in a log.
+const PERIOD: Duration = Duration::from_secs(30);
+/// Between looks at whether the own host leads.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Milliseconds since 1970.
+pub(super) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+/// Proposes the time wherever the own host leads; ends with the gateway.
+pub(super) fn start(gateway: &Arc<Gateway>, groups: &Groups) {
+    for handle in groups.all() {
+        let (handle, gateway) = (handle.clone(), Arc::downgrade(gateway));
+        tokio::spawn(async move {
+            let mut proposed: Option<(u64, Instant)> = None;
+            while gateway.strong_count() > 0 {
+                time::sleep(LOOK).await;
+                tick(&handle, &mut proposed).await;
+            }
+        });
+    }
+}
+
+async fn tick(handle: &GroupHandle, proposed: &mut Option<(u64, Instant)>) {
+    let status = handle.status();
+    let leads = status.role == anvillift_consensus::RoleKind::Leader;
+    let due = proposed.is_none_or(|(term, at)| term != status.term || at.elapsed() >= PERIOD);
+    if !leads || !due {
+        return;
+    }
+    let operation = LedgerOperation::Expire { now_unix_ms: unix_ms() };
+    if handle.propose(machine::encode_operation(&operation)).await.is_ok() {
+        *proposed = Some((status.term, Instant::now()));
+    }
+}
--- a/crates/anvillift-gateway/src/forward/incoming.rs
+++ b/crates/anvillift-gateway/src/forward/incoming.rs
@@ -71,7 +71,13 @@
         return Err(Code::PlaceNotAllowed.into());
     }
     let kept = headers::from_link(&head.headers);
-    let idempotency_key = headers::text(&kept, headers::IDEMPOTENCY_KEY).map(Name::from);
+    let mut passed = headers::of_request(&kept);
+    let mut idempotency_key = headers::text(&kept, headers::IDEMPOTENCY_KEY).map(Name::from);
+    if let Some(key_hash) = kept.get(headers::KEY_HASH) {
+        // The home region has reserved the key; what is left is to send the command once.
+        idempotency_key = None;
+        passed.insert(headers::KEY_HASH, key_hash.clone());
+    }
     Ok(Request {
         id: head.request_id,
         service: service.name,
@@ -81,7 +87,7 @@
         idempotency_key,
         method: head.method.parse().map_err(|_| Code::MalformedRequest)?,
         path: head.path,
-        headers: headers::of_request(&kept),
+        headers: passed,
         body: Bytes::new(),
         hops: head.hops,
         deadline_ms: gateway.now_ms() + head.deadline_ms.min(profile.deadline_ms),
--- a/crates/anvillift-gateway/src/headers.rs
+++ b/crates/anvillift-gateway/src/headers.rs
@@ -15,6 +15,8 @@
 /// Result code of an answer that is not an upstream's.
 pub(crate) const CODE: &str = "anvillift-code";
 pub(crate) const ATTEMPT: &str = "anvillift-attempt";
+/// Hash of the scope and key of a command, for upstreams that check it.
+pub(crate) const KEY_HASH: &str = "anvillift-key-hash";
 pub(crate) const PRIORITY: &str = "anvillift-priority";
 pub(crate) const RESUME_ATTEMPT: &str = "anvillift-resume-attempt";
 pub(crate) const RESUME_OFFSET: &str = "anvillift-resume-offset";
--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -49,12 +49,15 @@
 /// Takes a newer view and gives it to the router.
 pub(crate) fn refresh(gateway: &Arc<Gateway>) {
     let now_ms = gateway.now_ms();
-    let view = gateway.members.lock().expect("lock").view(now_ms);
+    let (view, cache_events) = {
+        let mut members = gateway.members.lock().expect("lock");
+        (members.view(now_ms), members.take_cache_events())
+    };
     let configuration = gateway.configuration.load_full();
     let mut router = gateway.router.lock().expect("lock");
-    for (name, known) in &view.upstreams {
-        let announcement = &known.announcement;
-        router.cache_events(now_ms, name, announcement.incarnation, &announcement.cache_events);
+    for heard in &cache_events {
+        let events = std::slice::from_ref(&heard.event);
+        router.cache_events(now_ms, &heard.upstream, heard.incarnation, events);
     }
     for service in configuration.services.values() {
         if let Some(profile) = configuration.profiles.get(&service.profile) {
--- a/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
+++ b/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
@@ -134,6 +134,11 @@
         change(&mut self.announcement.lock().expect("lock"));
     }
 
+    /// The address it announces.
+    pub(crate) fn url(&self) -> String {
+        self.announcement.lock().expect("lock").url.clone()
+    }
+
     /// Falls silent, but goes on answering.
     pub(crate) fn stop_announcing(&mut self) {
         self.announcing.abort();
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod broken_streams;
 mod cluster;
+mod commands;
 mod fake_upstream;
 mod leaving;
 mod thin_path;
--- a/crates/anvillift-ledger/src/machine.rs
+++ b/crates/anvillift-ledger/src/machine.rs
@@ -249,6 +249,11 @@
     encode(operation)
 }
 
+/// The encoded form of a verdict.
+pub fn encode_verdict(verdict: &LedgerVerdict) -> Vec<u8> {
+    encode(verdict)
+}
+
 /// The verdict of its encoded form.
 pub fn decode_verdict(verdict: &[u8]) -> Option<LedgerVerdict> {
     ciborium::from_reader(verdict).ok()
--- a/crates/anvillift-membership/tests/faults.rs
+++ b/crates/anvillift-membership/tests/faults.rs
@@ -178,13 +178,17 @@
 
 #[test]
 fn the_directory_puts_the_own_region_first() {
-    let network = today(wide_area(), 9);
-    let identity = &network.hosts[&host_name(4)].settings.identity;
-    let answer = directory::directory(&network.view(4), identity, &Name::from("service-0"));
+    let size = Size { hosts: 12, centres: 6, regions: 3, upstreams: 0, services: 1 };
+    let mut network = Network::new(size, wide_area(), 9);
+    network.add_upstream(0, 1, 0);
+    network.run(5_000);
+    let identity = &network.hosts[&host_name(0)].settings.identity;
+    let answer = directory::directory(&network.view(0), identity, &Name::from("service-0"));
     let regions: Vec<&Name> = answer.hosts.iter().map(|host| &host.region).collect();
-    assert_eq!(regions.len(), 8);
-    assert!(regions[..3].iter().all(|region| **region == identity.region));
-    assert!(regions[3..].iter().all(|region| **region != identity.region));
+    assert_eq!(regions.len(), 12);
+    assert!(regions[..4].iter().all(|region| **region == identity.region));
+    // Then the data centre that has an upstream of the service.
+    assert!(answer.hosts[4..6].iter().all(|host| host.data_centre == Name::from("centre-01")));
     assert!(answer.hosts.iter().all(|host| host.weight > 0) && answer.valid_ms > 0);
 }
 
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -66,6 +66,7 @@
     CommandExpired = 1504, 410, NotRun, "The idempotency key is older than the retention";
     LedgerUnavailable = 1505, 503, NotRun, "The ledger has no majority";
     DispatchTooLate = 1506, 503, NotRun, "The dispatch deadline passed before sending";
+    CommandRan = 1507, 409, Ran, "The command ran, and its answer is no longer kept";
     RevisionConflict = 1601, 409, NotRun, "The expected revision is stale";
     ChangeMismatch = 1602, 409, NotRun, "The change id was used with another change";
     ChangeInvalid = 1603, 422, NotRun, "The change is not valid";
