Wire control into the gateway

Cause: changes must be accepted and be in force on every host within seconds. Ruled out: each daemon asking a control host (380 streams at 12 hosts); serving by the settings while control may be reached (a stale placement). Change: control's group on disk hosts, changes, status, orders and replacement of replicas from any host, deltas through one relay a data centre, readiness of a starting host, the held configuration saved on disk hosts.

--- a/crates/anvillift-consensus/tests/testsuite/leadership.rs
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -1,7 +1,7 @@
 //! Leadership in single, named situations.
 
-use anvillift_consensus::{Replica, RoleKind};
-use anvillift_schema::consensus::Voter;
+use anvillift_consensus::{Effect, Replica, ReplicaStatus, RoleKind};
+use anvillift_schema::consensus::{ConsensusEnvelope, ConsensusMessage, SnapshotMeta, Voter};
 use anvillift_schema::name::Name;
 
 use rstest::rstest;
@@ -32,6 +32,27 @@
     }
 }
 
+/// Hands over a message that was late, and looks at the effects.
+fn deliver(
+    cluster: &mut Cluster,
+    from: &Name,
+    to: &Name,
+    message: impl Fn(&ReplicaStatus) -> ConsensusMessage,
+    look: impl Fn(&[Effect]),
+) {
+    let envelope = ConsensusEnvelope {
+        group: cluster.settings.group.clone(),
+        from_storage_id: cluster.nodes[from].storage_id.clone(),
+        to_storage_id: cluster.nodes[to].storage_id.clone(),
+        message: message(&replica(cluster, to).status()),
+    };
+    cluster.call(to, |replica, now_ms| {
+        let effects = replica.receive(now_ms, from, envelope);
+        look(&effects);
+        effects
+    });
+}
+
 fn follower(cluster: &Cluster, leader: &Name) -> Name {
     cluster.nodes.keys().find(|name| *name != leader).expect("a follower").clone()
 }
@@ -217,7 +238,16 @@
     cluster.run(4);
     assert!(!replica(&cluster, &leader).may_serve_reads(cluster.now_ms));
     let read = cluster.read(&leader);
-    assert!(cluster.read_waits(read));
+    let late = follower(&cluster, &leader);
+    let sent_ms = cluster.now_ms - 30;
+    let message = |status: &ReplicaStatus| ConsensusMessage::AppendResponse {
+        term: status.term,
+        match_index: status.commit_index,
+        success: true,
+        sent_ms,
+    };
+    deliver(&mut cluster, &late, &leader, message, |_| ());
+    assert!(cluster.read_waits(read), "an answer to an older message is no proof");
     cluster.cut.clear();
     cluster.run(4);
     assert!(!cluster.read_waits(read));
@@ -276,3 +306,23 @@
     cluster.run(200);
     assert!(cluster.is_whole() && cluster.leader().is_some());
 }
+
+#[test]
+fn an_old_snapshot_that_comes_late_takes_nothing_back() {
+    let (mut cluster, leader) = working(3, SEED);
+    let follower = follower(&cluster, &leader);
+    let before = replica(&cluster, &follower).status();
+    let message = |status: &ReplicaStatus| ConsensusMessage::SnapshotRequest {
+        term: status.term,
+        meta: SnapshotMeta { index: 1, term: status.term, voters: status.voters.clone() },
+        offset: 0,
+        data: vec![1].into(),
+        done: true,
+        sent_ms: 0,
+    };
+    deliver(&mut cluster, &leader, &follower, message, |effects| {
+        let installs = |effect: &Effect| matches!(effect, Effect::InstallSnapshot { .. });
+        assert!(!effects.iter().any(installs));
+    });
+    assert_eq!(replica(&cluster, &follower).status().last_index, before.last_index);
+}
--- a/crates/anvillift-consensus/tests/testsuite/main.rs
+++ b/crates/anvillift-consensus/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod harness;
 mod leadership;
 mod schedules;
+mod votes;
--- a/crates/anvillift-control/src/machine.rs
+++ b/crates/anvillift-control/src/machine.rs
@@ -54,7 +54,11 @@
             Some(ControlCommand::Seed(configuration)) => self.seed(configuration),
             Some(ControlCommand::Change(change)) => self.change(change),
             Some(ControlCommand::Order(order)) => self.order(index, order),
-            None => ControlAnswer::Invalid { detail: "the command cannot be read".to_owned() },
+            Some(ControlCommand::FindChange(_) | ControlCommand::Replace(_)) | None => {
+                ControlAnswer::Invalid {
+                    detail: "the command does not belong in the log".to_owned(),
+                }
+            }
         }
     }
 
@@ -135,6 +139,11 @@
         self.changes.get(change_id).map(|record| record.revision)
     }
 
+    /// The order with a fencing number, if it is remembered.
+    pub fn order_at(&self, fencing: u64) -> Option<UpstreamOrder> {
+        self.orders.at(fencing).map(|record| record.order.clone())
+    }
+
     /// What leads from a revision to the newest one, if that is news.
     pub fn update_after(&self, revision: u64) -> Option<ConfigurationUpdate> {
         if revision >= self.configuration.revision {
--- a/crates/anvillift-control/src/memory.rs
+++ b/crates/anvillift-control/src/memory.rs
@@ -28,6 +28,11 @@
         self.records.get(id)
     }
 
+    /// The record with a number.
+    pub(crate) fn at(&self, number: u64) -> Option<&R> {
+        self.records.get(self.ids.get(&number)?)
+    }
+
     /// The records by id.
     pub(crate) fn records(&self) -> &BTreeMap<Name, R> {
         &self.records
--- a/crates/anvillift-gateway/src/clock.rs
+++ b/crates/anvillift-gateway/src/clock.rs
@@ -20,6 +20,11 @@
         START_MS + self.started.elapsed().as_millis() as u64
     }
 
+    /// Time since the start of the process, in milliseconds.
+    pub(crate) fn uptime_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
     /// The instant of a time in milliseconds.
     pub(crate) fn instant(&self, at_ms: u64) -> tokio::time::Instant {
         let since = Duration::from_millis(at_ms.saturating_sub(START_MS));
--- /dev/null
+++ b/crates/anvillift-gateway/src/control/endpoints.rs
@@ -0,0 +1,98 @@
+//! Control's side towards operators.
+
+use std::sync::Arc;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::configuration::{
+    Change, ControlAnswer, ControlCommand, ControlStatus, ReplicaReplacement,
+};
+use anvillift_schema::name::Name;
+use anvillift_schema::public::{ChangeAnswer, ChangeStatus};
+use anvillift_schema::upstream::UpstreamOrder;
+use serde::de::DeserializeOwned;
+
+use crate::answer::{self, Answer};
+use crate::control::{status, submit};
+use crate::gateway::Gateway;
+use crate::problem::Refusal;
+
+/// Largest change, in bytes.
+pub(crate) const MAX_CHANGE_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Submits a change.
+pub(crate) async fn submit_change(gateway: &Arc<Gateway>, body: &[u8]) -> Result<Answer, Refusal> {
+    let change: Change = parse(body)?;
+    let change_id = change.change_id.clone();
+    match submit::submit(gateway, &ControlCommand::Change(change)).await? {
+        ControlAnswer::Accepted { revision } => {
+            Ok(answer::json(&ChangeAnswer { change_id, revision }))
+        }
+        other => Err(refusal(other)),
+    }
+}
+
+/// Where a change is in force.
+pub(crate) async fn change_status(gateway: &Arc<Gateway>, id: &str) -> Result<Answer, Refusal> {
+    let change_id = Name::from(id);
+    match submit::submit(gateway, &ControlCommand::FindChange(change_id.clone())).await? {
+        ControlAnswer::Accepted { revision } => Ok(answer::json(&ChangeStatus {
+            accepted: true,
+            change_id,
+            regions: status::regions(gateway, revision),
+            revision,
+        })),
+        other => Err(refusal(other)),
+    }
+}
+
+/// Writes an order and sends it.
+pub(crate) async fn submit_order(gateway: &Arc<Gateway>, body: &[u8]) -> Result<Answer, Refusal> {
+    let order: UpstreamOrder = parse(body)?;
+    match submit::submit(gateway, &ControlCommand::Order(order)).await? {
+        ControlAnswer::Delivered { status, .. } if status == Code::OrderRefused.status() => {
+            Err(Code::OrderRefused.into())
+        }
+        delivered @ ControlAnswer::Delivered { .. } => Ok(answer::json(&delivered)),
+        other => Err(refusal(other)),
+    }
+}
+
+/// Puts a replica of the control log in the place of another.
+pub(crate) async fn replace(gateway: &Arc<Gateway>, body: &[u8]) -> Result<Answer, Refusal> {
+    let replacement: ReplicaReplacement = parse(body)?;
+    match submit::submit(gateway, &ControlCommand::Replace(replacement)).await? {
+        ControlAnswer::Replicas(voters) => Ok(answer::json(&voters)),
+        other => Err(refusal(other)),
+    }
+}
+
+/// The own replica of the control log.
+pub(crate) fn control_status(gateway: &Gateway) -> Result<Answer, Refusal> {
+    let handle = gateway.control.handle().ok_or(Code::NotFound)?;
+    let status = handle.status();
+    Ok(answer::json(&ControlStatus {
+        role: status.role.to_string(),
+        leader: status.leader,
+        term: status.term,
+        commit_index: status.commit_index,
+        voters: status.voters,
+        refetching: status.refetching,
+        failed: status.failed,
+    }))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body)
+        .map_err(|error| Refusal::with_detail(Code::MalformedRequest, error.to_string()))
+}
+
+fn refusal(answer: ControlAnswer) -> Refusal {
+    let at = |code, revision| Refusal { revision: Some(revision), ..Refusal::from(code) };
+    match answer {
+        ControlAnswer::Conflict { revision } => at(Code::RevisionConflict, revision),
+        ControlAnswer::Mismatch { revision } => at(Code::ChangeMismatch, revision),
+        ControlAnswer::Missing { revision } => at(Code::ChangeUnknown, revision),
+        ControlAnswer::Invalid { detail } => Refusal::with_detail(Code::ChangeInvalid, detail),
+        _ => Code::Internal.into(),
+    }
+}
--- /dev/null
+++ b/crates/anvillift-gateway/src/control/group.rs
@@ -0,0 +1,130 @@
+//! The replica of the control log on hosts with a disk.
+
+use std::sync::{Arc, Weak};
+
+use anvillift_control::{ControlMachine, encode};
+use anvillift_replication::{
+    GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupTiming, OpenedGroup, SendFn,
+};
+use anvillift_schema::configuration::ControlCommand;
+use anvillift_schema::consensus::Voter;
+use anvillift_schema::event::Event;
+use anvillift_schema::link::PeerMessage;
+use anvillift_schema::name::Name;
+use anvillift_storage::Io;
+
+use anvillift_consensus::RoleKind;
+
+use crate::control::state::lock;
+use crate::control::{GROUP, distribution};
+use crate::gateway::Gateway;
+
+/// Heartbeats of a leader in one election timeout.
+const HEARTBEATS_PER_ELECTION_TIMEOUT: u64 = 5;
+
+/// Starts the replica, if this host belongs to control.
+pub(super) fn start(gateway: &Arc<Gateway>) {
+    let voters = &gateway.settings.control.voters;
+    let (Some(folder), Some(storage)) = (&gateway.control.folder, &gateway.settings.storage) else {
+        return;
+    };
+    if voters.is_empty() {
+        return;
+    }
+    let opened = match folder.open_group(&Name::from(GROUP), Io::default()) {
+        Ok((storage, recovered)) => OpenedGroup { storage, recovered },
+        Err(error) => {
+            log::error!(
+                event = Event::StorageFailed.number(), code = error.code().number();
+                "the control log cannot be opened: {error}"
+            );
+            return;
+        }
+    };
+    let election_timeout_ms = gateway.settings.timing.election_timeout_ms;
+    let settings = GroupDriverSettings {
+        group: Name::from(GROUP),
+        identity: Voter { host: gateway.host().clone(), storage_id: folder.storage_id().clone() },
+        voters: voters.clone(),
+        storage: Some(opened),
+        timing: GroupTiming {
+            election_timeout_ms,
+            heartbeat_ms: election_timeout_ms / HEARTBEATS_PER_ELECTION_TIMEOUT,
+        },
+        snapshot_entries: storage.snapshot_entries,
+        replace_restarted: false,
+        seed: rand::random(),
+    };
+    let handle = GroupDriver::start(settings, machine(gateway), sender(gateway));
+    gateway.control.set_handle(handle.clone());
+    gateway.control.keep(tokio::spawn(publish(Arc::downgrade(gateway))));
+    gateway.control.keep(tokio::spawn(found(Arc::downgrade(gateway), handle)));
+}
+
+fn machine(gateway: &Arc<Gateway>) -> GroupMachine {
+    let control = &gateway.control;
+    let (applied, restored) = (control.machine.clone(), control.machine.clone());
+    let (notify, notify_restored) = (control.applied.clone(), control.applied.clone());
+    let read = control.machine.clone();
+    GroupMachine {
+        apply: Box::new(move |index, command| {
+            let answer = lock(&applied).apply(index, command);
+            notify.notify_one();
+            encode(&answer)
+        }),
+        snapshot: Box::new(move || lock(&read).snapshot()),
+        restore: Box::new(move |bytes| {
+            if let Some(machine) = ControlMachine::restore(bytes) {
+                *lock(&restored) = machine;
+                notify_restored.notify_one();
+            }
+        }),
+    }
+}
+
+fn sender(gateway: &Arc<Gateway>) -> SendFn {
+    let gateway = Arc::downgrade(gateway);
+    Arc::new(move |to, envelope| {
+        if let Some(gateway) = gateway.upgrade() {
+            gateway.mesh().send(&to, PeerMessage::Consensus(envelope));
+        }
+    })
+}
+
+/// Puts in force what the machine has applied.
+async fn publish(gateway: Weak<Gateway>) {
+    let Some(applied) = gateway.upgrade().map(|gateway| gateway.control.applied.clone()) else {
+        return;
+    };
+    loop {
+        applied.notified().await;
+        let Some(gateway) = gateway.upgrade() else { return };
+        let held = gateway.control.held().revision();
+        let update = gateway.control.machine().update_after(held);
+        if let Some(update) = update {
+            let own = gateway.host().clone();
+            distribution::take(&gateway, &own, update);
+        }
+    }
+}
+
+/// Founds the configuration with the one of the settings, once, as leader.
+async fn found(gateway: Weak<Gateway>, handle: GroupHandle) {
+    let mut status = handle.watch();
+    loop {
+        if status.wait_for(|status| status.role == RoleKind::Leader).await.is_err() {
+            return;
+        }
+        let Some(gateway) = gateway.upgrade() else { return };
+        let caught_up = handle.read_barrier().await.is_ok();
+        let seeded = gateway.control.machine().is_seeded();
+        if caught_up && !seeded {
+            let seed = ControlCommand::Seed(gateway.settings.configuration.clone());
+            handle.propose(encode(&seed)).await.ok();
+        }
+        drop(gateway);
+        if caught_up && status.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/anvillift-gateway/src/error.rs
+++ b/crates/anvillift-gateway/src/error.rs
@@ -31,6 +31,12 @@
         /// What is wrong.
         reason: String,
     },
+    /// The data folder cannot be used.
+    #[snafu(display("the data folder cannot be used"))]
+    Storage {
+        /// Cause.
+        source: anvillift_storage::StorageError,
+    },
     /// The client for upstreams cannot be built.
     #[snafu(display("cannot build the HTTP client"))]
     Client {
@@ -48,6 +54,7 @@
                 Code::KeyFileInvalid
             }
             Self::Listen { .. } | Self::Mesh { .. } => Code::SettingsInvalid,
+            Self::Storage { source } => source.code(),
             Self::Client { .. } => Code::Internal,
         }
     }
--- a/crates/anvillift-gateway/src/gateway.rs
+++ b/crates/anvillift-gateway/src/gateway.rs
@@ -41,7 +41,6 @@
     pub(crate) clients: Clients,
     pub(crate) in_flight: InFlight,
     pub(crate) admission: AdmissionState,
-    #[allow(dead_code)]
     pub(crate) control: Control,
     #[allow(dead_code)]
     pub(crate) commands: Commands,
--- a/crates/anvillift-gateway/src/listener.rs
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -10,6 +10,7 @@
 use crate::answer::Answer;
 use crate::callers::ask::{self, Question};
 use crate::callers::{directory, report};
+use crate::control;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::operators;
@@ -32,6 +33,11 @@
     OperatorHosts,
     OperatorUpstreams,
     OperatorConfiguration,
+    OperatorChanges,
+    OperatorChange,
+    OperatorOrders,
+    OperatorControl,
+    OperatorReplace,
 }
 
 struct EndpointHandler {
@@ -45,7 +51,12 @@
     let operator = Router::with_path("v1/operator")
         .push(Router::with_path("hosts").get(at(Endpoint::OperatorHosts)))
         .push(Router::with_path("upstreams").get(at(Endpoint::OperatorUpstreams)))
-        .push(Router::with_path("configuration").get(at(Endpoint::OperatorConfiguration)));
+        .push(Router::with_path("configuration").get(at(Endpoint::OperatorConfiguration)))
+        .push(Router::with_path("changes/{id}").get(at(Endpoint::OperatorChange)))
+        .push(Router::with_path("changes").post(at(Endpoint::OperatorChanges)))
+        .push(Router::with_path("orders").post(at(Endpoint::OperatorOrders)))
+        .push(Router::with_path("control/replace").post(at(Endpoint::OperatorReplace)))
+        .push(Router::with_path("control").get(at(Endpoint::OperatorControl)));
     let router = Router::new()
         .push(Router::with_path("s/{service}/{**rest}").goal(at(Endpoint::Ask)))
         .push(Router::with_path("v1/chat/completions").post(at(Endpoint::AskByHeader)))
@@ -94,15 +105,37 @@
             }
             operator => {
                 operators::check_key(gateway, request.headers())?;
-                Ok(match operator {
-                    Endpoint::OperatorHosts => operators::hosts(gateway),
-                    Endpoint::OperatorUpstreams => operators::upstreams(gateway),
-                    _ => operators::configuration(gateway),
-                })
+                self.run_operator(operator, request).await
             }
         }
     }
 
+    async fn run_operator(
+        &self,
+        endpoint: Endpoint,
+        request: &mut Request,
+    ) -> Result<Answer, Refusal> {
+        let gateway = &self.gateway;
+        match endpoint {
+            Endpoint::OperatorHosts => Ok(operators::hosts(gateway)),
+            Endpoint::OperatorUpstreams => Ok(operators::upstreams(gateway)),
+            Endpoint::OperatorControl => control::control_status(gateway),
+            Endpoint::OperatorChange => {
+                let id: String = request.param("id").ok_or(Code::NotFound)?;
+                control::change_status(gateway, &id).await
+            }
+            Endpoint::OperatorChanges | Endpoint::OperatorOrders | Endpoint::OperatorReplace => {
+                let body = read(gateway, request, control::MAX_CHANGE_BYTES).await?;
+                match endpoint {
+                    Endpoint::OperatorChanges => control::submit_change(gateway, &body).await,
+                    Endpoint::OperatorOrders => control::submit_order(gateway, &body).await,
+                    _ => control::replace(gateway, &body).await,
+                }
+            }
+            _ => Ok(operators::configuration(gateway)),
+        }
+    }
+
     fn question(&self, request: &mut Request) -> Result<Question, Refusal> {
         let uri = request.uri().clone();
         let query = uri.query().map(|query| format!("?{query}")).unwrap_or_default();
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -22,7 +22,7 @@
 use crate::clock::Clock;
 use crate::commands::{self, Commands};
 use crate::control::{self, Control};
-use crate::error::{ListenSnafu, MeshSnafu, StartError};
+use crate::error::{ListenSnafu, MeshSnafu, StartError, StorageSnafu};
 use crate::gateway::Gateway;
 use crate::in_flight::InFlight;
 use crate::inbox;
@@ -52,7 +52,6 @@
         let _ = gateway.mesh.set(mesh);
         control::start(&gateway).await;
         commands::start(&gateway).await;
-        set_ready(&gateway);
         membership::refresh(&gateway);
         let membership = tokio::spawn(membership::run(gateway.clone()));
         let acceptor = TcpAcceptor::try_from(listener)
@@ -73,12 +72,13 @@
 
 fn build(settings: HostSettings, caller_url: String) -> Result<Gateway, StartError> {
     let incarnation = unix_ms();
+    let control = Control::open(&settings).context(StorageSnafu)?;
     let members = MembersSettings {
         identity: settings.host.clone(),
         peers: settings.peers.clone(),
         caller_url,
         incarnation,
-        storage_id: None,
+        storage_id: control.storage_id().map(ToString::to_string),
         heartbeat_ms: settings.timing.heartbeat_ms,
         silent_after_ms: settings.timing.silent_after_ms,
         upstream_expiry_ms: settings.timing.upstream_expiry_ms,
@@ -98,7 +98,7 @@
         clients: Clients::new()?,
         in_flight: InFlight::new(),
         admission: AdmissionState::new(&settings.host.name, &settings.limits),
-        control: Control::default(),
+        control,
         commands: Commands::default(),
         draining: AtomicBool::new(false),
         ready: AtomicBool::new(false),
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -232,8 +232,15 @@
     }
 
     fn publish(&mut self) {
-        let status = GroupStatus::new(self.replica.status(), self.failed);
-        let before = self.status.borrow().role;
+        let mut status = GroupStatus::new(self.replica.status(), self.failed);
+        let (before, term_before, led_since) = {
+            let seen = self.status.borrow();
+            (seen.role, seen.term, seen.led_since)
+        };
+        if status.role == RoleKind::Leader {
+            let same = led_since.filter(|_| term_before == status.term);
+            status.led_since = same.or_else(|| Some(Instant::now()));
+        }
         let group = &self.performer.group;
         let (leads, led) = (status.role == RoleKind::Leader, before == RoleKind::Leader);
         let term = status.term;
--- a/crates/anvillift-replication/src/status.rs
+++ b/crates/anvillift-replication/src/status.rs
@@ -1,5 +1,7 @@
 //! What is known of a group from outside.
 
+use std::time::{Duration, Instant};
+
 use anvillift_consensus::{ReplicaStatus, RoleKind};
 use anvillift_schema::consensus::VoterSet;
 use anvillift_schema::name::Name;
@@ -21,9 +23,16 @@
     pub refetching: bool,
     /// Whether the storage failed and the replica takes no part any more.
     pub failed: bool,
+    /// Since when this replica leads.
+    pub led_since: Option<Instant>,
 }
 
 impl GroupStatus {
+    /// How long this replica has led, if it does.
+    pub fn led_for(&self) -> Option<Duration> {
+        self.led_since.map(|since| since.elapsed())
+    }
+
     pub(crate) fn new(status: ReplicaStatus, failed: bool) -> Self {
         Self {
             role: if failed { RoleKind::Follower } else { status.role },
@@ -33,6 +42,7 @@
             voters: status.voters,
             refetching: status.refetching,
             failed,
+            led_since: None,
         }
     }
 }
--- a/crates/anvillift-storage/src/folder.rs
+++ b/crates/anvillift-storage/src/folder.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use anvillift_schema::name::Name;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -62,6 +63,17 @@
         &self.storage_id
     }
 
+    /// Makes a value durable in the place of an earlier one of the same name.
+    pub fn save(&self, name: &str, value: &impl Serialize) -> Result<(), StorageError> {
+        let framing = Framing::new(self.storage_id.clone());
+        file::replace(&mut Io::default(), &framing, &self.path.join(name), value)
+    }
+
+    /// The value saved by a name, if there is one.
+    pub fn load<T: DeserializeOwned>(&self, name: &str) -> Result<Option<T>, StorageError> {
+        file::read(&Framing::new(self.storage_id.clone()), &self.path.join(name))
+    }
+
     /// Opens the storage of a group and reads what it holds.
     pub fn open_group(
         &self,
