Test control in running gateways

Cause: the promises on changes hold only if the whole way from the operator to each host keeps them.

--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::process;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 use anvillift_gateway::{Gateway, RunningGateway};
 use anvillift_schema::configuration::{Configuration, Profile, Service, ServiceKind, Team};
@@ -22,6 +23,8 @@
 pub(crate) const MODEL: &str = "asistente-riego";
 pub(crate) const PLAIN: &str = "control-pivotes";
 
+const RESTART_LIMIT: Duration = Duration::from_secs(20);
+const RESTART_PAUSE: Duration = Duration::from_millis(50);
 const LINK_PORT: u16 = 7101;
 const REGIONS: [(&str, &str); 3] =
     [("oriente", "zacapa-a"), ("costa-sur", "escuintla-a"), ("altiplano", "xela-a")];
@@ -83,8 +86,41 @@
         request.send().await.expect("answer").json().await.expect("directory")
     }
 
+    /// Starts a host again, once its data folder is free.
+    pub(crate) async fn restart(&mut self, host: &str) {
+        let settings = self.settings[host].clone();
+        let limit = Instant::now() + RESTART_LIMIT;
+        loop {
+            match Gateway::start(settings.clone()).await {
+                Ok(running) => {
+                    self.running.insert(Name::from(host), running);
+                    return;
+                }
+                Err(error) => assert!(Instant::now() < limit, "{host}: {error}"),
+            }
+            tokio::time::sleep(RESTART_PAUSE).await;
+        }
+    }
+
+    /// Stops a host at once.
+    pub(crate) fn kill(&mut self, host: &str) {
+        self.running.remove(host).expect("a running host").stop();
+    }
+
+    /// Waits until a host takes requests.
+    pub(crate) async fn ready(&self, host: &str) {
+        wait::until("the host is ready", async || {
+            let answer = self.client.get(self.url(host) + "/healthz").send().await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+    }
+
     /// Waits until every host sees every other.
     async fn linked(&self) {
+        for host in self.running.keys() {
+            self.ready(host).await;
+        }
         for host in self.running.keys() {
             let all = self.running.len();
             wait::until("every host is in the directory", async || {
--- /dev/null
+++ b/crates/anvillift-gateway/tests/testsuite/control_cluster.rs
@@ -0,0 +1,150 @@
+//! Gateways with a control host in each region.
+
+use std::time::Duration;
+
+use anvillift_schema::configuration::{Change, Configuration, ControlStatus, Edit, Profile};
+use anvillift_schema::consensus::VoterSet;
+use anvillift_schema::name::Name;
+use anvillift_schema::public::{ChangeAnswer, ChangeStatus, Problem};
+use anvillift_schema::settings::StorageSettings;
+use reqwest::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+use tokio::time::{self, Instant};
+
+use crate::cluster::{Cluster, OPERATOR_KEY};
+use crate::wait;
+
+/// The hosts with a disk.
+pub(crate) const CONTROL: [&str; 3] = ["oriente-1", "costa-sur-1", "altiplano-1"];
+const SUBMIT_LIMIT: Duration = Duration::from_secs(30);
+const SUBMIT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A cluster and the folders of its disks.
+pub(crate) struct ControlCluster {
+    pub(crate) cluster: Cluster,
+    pub(crate) disks: TempDir,
+}
+
+/// An answer that is a problem.
+pub(crate) type Outcome<T> = Result<T, Problem>;
+
+impl ControlCluster {
+    /// Starts hosts `{region}-1`, with a disk, to `{region}-{hosts}`.
+    pub(crate) async fn start(hosts: u32) -> Self {
+        let disks = tempfile::tempdir().expect("a folder");
+        let cluster = Cluster::start_with(hosts, |settings| {
+            settings.control.voters = CONTROL.map(Name::from).to_vec();
+            settings.timing.heartbeat_ms = 100;
+            settings.timing.silent_after_ms = 1_000;
+            settings.timing.election_timeout_ms = 500;
+            if CONTROL.contains(&settings.host.name.as_str()) {
+                let folder = disks.path().join(settings.host.name.as_str());
+                settings.storage = Some(StorageSettings {
+                    folder: folder.to_str().expect("a path").to_owned(),
+                    snapshot_entries: 64,
+                });
+            }
+        })
+        .await;
+        let cluster = Self { cluster, disks };
+        cluster.everywhere(1).await;
+        cluster
+    }
+
+    pub(crate) async fn get<T: DeserializeOwned>(&self, host: &str, path: &str) -> Outcome<T> {
+        let url = format!("{}/v1/operator/{path}", self.cluster.url(host));
+        read(self.cluster.client.get(url).bearer_auth(OPERATOR_KEY)).await
+    }
+
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        host: &str,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Outcome<T> {
+        let url = format!("{}/v1/operator/{path}", self.cluster.url(host));
+        read(self.cluster.client.post(url).bearer_auth(OPERATOR_KEY).json(body)).await
+    }
+
+    pub(crate) async fn submit(&self, host: &str, change: &Change) -> Outcome<ChangeAnswer> {
+        self.post(host, "changes", change).await
+    }
+
+    /// Submits a change, again and again while there is no leader.
+    pub(crate) async fn accepted(&self, host: &str, change: &Change) -> u64 {
+        let limit = Instant::now() + SUBMIT_LIMIT;
+        loop {
+            match self.submit(host, change).await {
+                Ok(answer) => return answer.revision,
+                Err(problem) => {
+                    let passing = problem.code == 1604 || problem.code == 1606;
+                    assert!(passing && Instant::now() < limit, "{problem:?}");
+                }
+            }
+            time::sleep(SUBMIT_PAUSE).await;
+        }
+    }
+
+    pub(crate) async fn status(&self, host: &str, id: &str) -> Outcome<ChangeStatus> {
+        self.get(host, &format!("changes/{id}")).await
+    }
+
+    pub(crate) async fn configuration(&self, host: &str) -> Configuration {
+        self.get(host, "configuration").await.expect("a configuration")
+    }
+
+    /// Waits until all hosts that run have applied a revision.
+    pub(crate) async fn everywhere(&self, revision: u64) {
+        for host in self.cluster.running.keys() {
+            wait::until("the revision is applied", async || {
+                self.configuration(host).await.revision >= revision
+            })
+            .await;
+        }
+    }
+
+    pub(crate) async fn control(&self, host: &str) -> ControlStatus {
+        self.get(host, "control").await.expect("a control host")
+    }
+
+    /// The host that leads, once one does.
+    pub(crate) async fn leader(&self) -> &'static str {
+        let mut leader = None;
+        wait::until("a control host leads", async || {
+            for host in CONTROL.iter().filter(|host| self.cluster.running.contains_key(**host)) {
+                if self.control(host).await.role == "leader" {
+                    leader = Some(*host);
+                }
+            }
+            leader.is_some()
+        })
+        .await;
+        leader.expect("a leader")
+    }
+
+    /// Waits until the voters of the leader are as wanted.
+    pub(crate) async fn voters(&self, what: &str, wanted: impl Fn(&VoterSet) -> bool) {
+        wait::until(what, async || {
+            let leader = self.leader().await;
+            wanted(&self.control(leader).await.voters)
+        })
+        .await;
+    }
+}
+
+async fn read<T: DeserializeOwned>(request: reqwest::RequestBuilder) -> Outcome<T> {
+    let answer = request.send().await.expect("an answer");
+    if answer.status() == StatusCode::OK {
+        Ok(answer.json().await.expect("the answer's type"))
+    } else {
+        Err(answer.json().await.expect("a problem"))
+    }
+}
+
+/// A change that puts a profile.
+pub(crate) fn put(id: &str, expected_revision: u64, profile: &str) -> Change {
+    let profile = Profile { name: Name::from(profile), ..Profile::default() };
+    Change { change_id: Name::from(id), expected_revision, edits: vec![Edit::PutProfile(profile)] }
+}
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -3,6 +3,10 @@
 mod admission;
 mod broken_streams;
 mod cluster;
+mod control;
+mod control_cluster;
+mod control_loss;
+mod control_orders;
 mod fake_upstream;
 mod leaving;
 mod thin_path;
