Measure the round trip of links for routing

Cause: routing took every region to be equally near; the list of hosts was also built again for each service and data centre (5 services, 28 data centres and 380 hosts make 53,000 comparisons a refresh). Change: pings carry their time; the reachable hosts of each data centre are collected once a refresh, with the largest round trip. After: cargo test -p anvillift-mesh -p anvillift-gateway passes.

--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -1,5 +1,6 @@
 //! Heartbeats of this host, and the views that routing rests on.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,6 +52,7 @@
     let now_ms = gateway.now_ms();
     let view = gateway.members.lock().expect("lock").view(now_ms);
     let configuration = gateway.configuration.load_full();
+    let reachable = reachable_data_centres(gateway, &view);
     let mut router = gateway.router.lock().expect("lock");
     for (name, known) in &view.upstreams {
         let announcement = &known.announcement;
@@ -58,30 +60,65 @@
     }
     for service in configuration.services.values() {
         if let Some(profile) = configuration.profiles.get(&service.profile) {
-            router.refresh(now_ms, &service.name, load_view(gateway, &view, service, profile));
+            router.refresh(
+                now_ms,
+                &service.name,
+                load_view(gateway, &view, &reachable, service, profile),
+            );
         }
     }
     drop(router);
     gateway.snapshot.store(Arc::new(Snapshot { view, taken_ms: now_ms }));
 }
 
-fn load_view(gateway: &Gateway, view: &View, service: &Service, profile: &Profile) -> LoadView {
+/// The hosts of another data centre that can take a request now.
+#[derive(Debug, Default)]
+struct Reachable {
+    hosts: Vec<Name>,
+    round_trip_ms: u64,
+}
+
+/// Reachable hosts by data centre, which all services share.
+fn reachable_data_centres(gateway: &Gateway, view: &View) -> BTreeMap<Name, Reachable> {
+    let mut reachable: BTreeMap<Name, Reachable> = BTreeMap::new();
+    let Some(mesh) = gateway.mesh.get() else { return reachable };
+    for linked in mesh.linked() {
+        let Some(known) = view.hosts.get(&linked) else { continue };
+        if !known.alive || known.record.state != HostState::Ready {
+            continue;
+        }
+        let place = reachable.entry(known.record.data_centre.clone()).or_default();
+        let round_trip_ms = mesh.round_trip_ms(&linked).unwrap_or_default();
+        place.round_trip_ms = place.round_trip_ms.max(round_trip_ms);
+        place.hosts.push(linked);
+    }
+    reachable
+}
+
+fn load_view(
+    gateway: &Gateway,
+    view: &View,
+    reachable: &BTreeMap<Name, Reachable>,
+    service: &Service,
+    profile: &Profile,
+) -> LoadView {
     let upstreams = view.upstreams.values();
     let upstreams = upstreams.filter(|known| known.announcement.service == service.name);
-    let linked = gateway.mesh.get().map(anvillift_mesh::Mesh::linked).unwrap_or_default();
     let far = view.data_centres.values().filter(|known| {
         let summary = &known.summary;
         summary.data_centre != *gateway.data_centre()
             && known.age_ms <= gateway.settings.timing.upstream_expiry_ms
             && placement::allows(profile, &summary.region, &summary.data_centre)
     });
+    let rooms = far.filter_map(|known| {
+        let place = reachable.get(&known.summary.data_centre)?;
+        Some(data_centre_room(known, place, &service.name))
+    });
     LoadView {
         region: gateway.region().clone(),
         data_centre: gateway.data_centre().clone(),
         upstreams: upstreams.map(upstream_room).collect(),
-        data_centres: far
-            .map(|known| data_centre_room(view, known, &service.name, &linked))
-            .collect(),
+        data_centres: rooms.collect(),
         spilling: false,
     }
 }
@@ -98,26 +135,16 @@
     }
 }
 
-fn data_centre_room(
-    view: &View,
-    known: &DataCentreView,
-    service: &Name,
-    linked: &[Name],
-) -> DataCentreRoom {
+fn data_centre_room(known: &DataCentreView, place: &Reachable, service: &Name) -> DataCentreRoom {
     let summary = &known.summary;
-    let hosts = view.hosts.values().filter(|host| {
-        host.alive
-            && host.record.state == HostState::Ready
-            && host.record.data_centre == summary.data_centre
-            && linked.contains(&host.record.host)
-    });
     let room = summary.services.iter().find(|room| room.service == *service);
     let room = room.cloned().unwrap_or_default();
     DataCentreRoom {
         data_centre: summary.data_centre.clone(),
         region: summary.region.clone(),
-        hosts: hosts.map(|host| host.record.host.clone()).collect(),
+        hosts: place.hosts.clone(),
         age_ms: known.age_ms,
+        round_trip_ms: place.round_trip_ms,
         upstreams: room.upstreams,
         running_requests: room.running_requests,
         free_slots: room.free_slots,
--- a/crates/anvillift-mesh/src/link.rs
+++ b/crates/anvillift-mesh/src/link.rs
@@ -24,6 +24,7 @@
 use crate::error::{LinkError, OpenError, WebSocketSnafu};
 use crate::handshake::Role;
 use crate::inbox::{IncomingStream, MeshInbox};
+use crate::round_trip::RoundTrip;
 use crate::settings::MeshSettings;
 use crate::stream::{AnswerSender, BodyReceiver, BodySender, ForwardedAnswer, StreamGuard};
 use crate::stream_state::StreamState;
@@ -40,6 +41,7 @@
     next_stream: AtomicU64,
     calls: Mutex<BTreeMap<u64, oneshot::Sender<PeerAnswer>>>,
     next_call: AtomicU64,
+    round_trip: RoundTrip,
 }
 
 impl Link {
@@ -57,6 +59,7 @@
             next_stream: AtomicU64::new(first_stream),
             calls: Mutex::default(),
             next_call: AtomicU64::new(1),
+            round_trip: RoundTrip::default(),
         }
     }
 
@@ -72,6 +75,11 @@
         error
     }
 
+    /// Smoothed time that a ping and its answer take, in milliseconds.
+    pub(crate) fn round_trip_ms(&self) -> Option<u64> {
+        self.round_trip.smoothed_ms()
+    }
+
     /// Breaks all streams and calls.
     pub(crate) fn close(&self) {
         self.closed.cancel();
@@ -146,7 +154,7 @@
                 None => match sink.flush().await {
                     Ok(()) => tokio::select! {
                         () = self.queue.pushed() => continue,
-                        _ = ping.tick() => sink.send(Message::Ping(Bytes::new())).await,
+                        _ = ping.tick() => sink.send(Message::Ping(self.round_trip.ping())).await,
                     },
                     Err(error) => Err(error),
                 },
@@ -174,6 +182,10 @@
                     codec::decode(&bytes).and_then(|frame| self.take(frame, inbox))
                 }
                 Ok(Message::Close(_)) => Err(LinkError::Closed),
+                Ok(Message::Pong(payload)) => {
+                    self.round_trip.pong(&payload);
+                    Ok(())
+                }
                 Ok(_) => Ok(()),
                 Err(error) => Err(error),
             };
--- a/crates/anvillift-mesh/src/mesh.rs
+++ b/crates/anvillift-mesh/src/mesh.rs
@@ -79,6 +79,12 @@
         self.shared.links.lock().expect("lock").keys().cloned().collect()
     }
 
+    /// Time that a ping to a host and its answer take, in milliseconds; none
+    /// before the first answer.
+    pub fn round_trip_ms(&self, host: &Name) -> Option<u64> {
+        self.link(host)?.round_trip_ms()
+    }
+
     /// Sends a message; false when there is no link or its queue is full.
     pub fn send(&self, to: &Name, message: PeerMessage) -> bool {
         self.link(to).is_some_and(|link| link.queue.push_message(LinkFrame::Peer(message)))
--- a/crates/anvillift-mesh/tests/testsuite/calls.rs
+++ b/crates/anvillift-mesh/tests/testsuite/calls.rs
@@ -48,3 +48,13 @@
     let _second = Mesh::start(b, pair::inbox(pair::refuse).0).await.expect("start");
     pair::up(&a).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_round_trip_is_measured_from_both_sides() {
+    let (a, b, _) = pair::linked(pair::refuse).await;
+    pair::until("the round trips are known", || {
+        a.round_trip_ms(&"b".into()).is_some() && b.round_trip_ms(&"a".into()).is_some()
+    })
+    .await;
+    assert_eq!(a.round_trip_ms(&"c".into()), None);
+}
