Test real daemons with kills, freezes and cuts

Cause: Promises about directory, streaming, placement, loops, leaving, drain and isolation hold between processes, and were tested only within one.

Ruled out: Stand-ins as processes: in the test's own process their reports are at hand, and they speak the same HTTP. Fixed ports on 127.0.0.1: each cluster takes a loopback address of its own, so that clusters do not meet.

Before: no test with daemons; anvillift ask was refused with 1304, since it asked for a model of the service's name.

--- a/src/cmd/ask.rs
+++ b/src/cmd/ask.rs
@@ -34,6 +34,9 @@
     /// read this path of a plain service instead, such as /pivots/7
     #[argh(option)]
     get: Option<String>,
+    /// model to ask for (any that the service has loaded)
+    #[argh(option)]
+    model: Option<String>,
     /// most tokens of the answer (256)
     #[argh(option, default = "256")]
     max_tokens: u32,
@@ -65,12 +68,15 @@
     async fn ask(&self, client: &Client, format: Format, question: &str) -> Result<(), Error> {
         let stream = format == Format::Text;
         let path = format!("/s/{}/v1/chat/completions", self.service);
-        let mut request = client.request(Method::POST, &path).json(&json!({
-            "model": self.service,
+        let mut body = json!({
             "messages": [{ "role": "user", "content": question }],
             "max_tokens": self.max_tokens,
             "stream": stream,
-        }));
+        });
+        if let Some(model) = &self.model {
+            body["model"] = json!(model);
+        }
+        let mut request = client.request(Method::POST, &path).json(&body);
         if let Some(deadline_ms) = self.deadline_ms {
             request = request.header("Anvillift-Deadline-Ms", deadline_ms);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,15 @@
 //! Each module holds one subject; `support` starts and harms the processes.
 
 mod cli;
+mod directory;
+mod drain;
+mod isolation;
+mod leave;
+mod loops;
+mod operating;
+mod placement;
+mod restart;
 mod settings;
+mod streaming;
 mod support;
 mod tables;
--- /dev/null
+++ b/tests/testsuite/streaming.rs
@@ -0,0 +1,90 @@
+//! Whole answers through a foreign region, read by a caller's own client.
+
+use std::time::Duration;
+
+use anvillift_bench::engine::{EngineMode, EngineSettings};
+use anvillift_schema::public::Outcome;
+use futures_util::future;
+use reqwest::{Client, RequestBuilder, Response};
+use serde_json::{Value, json};
+use tokio::time::{self, Instant};
+
+use crate::support::cluster::{self, Cluster};
+use crate::support::layout::MODEL;
+use crate::support::stream;
+use crate::support::upstreams;
+use crate::support::wait;
+
+const TOKENS: u32 = 60;
+const CALLERS: usize = 12;
+
+fn question(request: RequestBuilder, number: usize, stream: bool) -> RequestBuilder {
+    request.json(&json!({
+        "model": "stand-in",
+        "stream": stream,
+        "max_tokens": TOKENS,
+        "messages": [{ "role": "user", "content": format!("What of pivot {number}?") }],
+    }))
+}
+
+/// Asks until the question is admitted, as often as refusals say to come back.
+async fn admitted(cluster: &Cluster, number: usize) -> Response {
+    let deadline = Instant::now() + wait::LONG;
+    loop {
+        let request = cluster.ask("oriente-1", MODEL, true, TOKENS);
+        let answer = question(request, number, true).send().await.expect("an answer");
+        if answer.status() == 200 {
+            return answer;
+        }
+        let problem = cluster::problem(answer).await;
+        assert_eq!(problem.outcome, Outcome::NotRun, "{problem:?}");
+        assert!(Instant::now() < deadline, "{problem:?}");
+        let retry_after_ms = problem.retry_after_ms.expect("a time to come back");
+        time::sleep(Duration::from_millis(retry_after_ms)).await;
+    }
+}
+
+/// The answer that the engine itself gives.
+async fn direct_answer(engine_url: &str, number: usize) -> String {
+    let request = Client::new().post(format!("{engine_url}/v1/chat/completions"));
+    let answer = question(request, number, false).send().await.expect("an answer");
+    let answer: Value = answer.json().await.expect("JSON");
+    answer["choices"][0]["message"]["content"].as_str().expect("text").to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_caller_gets_the_whole_answer_to_its_own_question() {
+    let cluster = Cluster::start().await;
+    let engine = upstreams::engine(&cluster, "escuintla-a", MODEL, EngineSettings::default()).await;
+    let engine_url = format!("http://{}", engine.addr);
+    upstreams::model_served(&cluster, "oriente-1", MODEL).await;
+    let ask = async |number: usize| {
+        let answer = admitted(&cluster, number).await;
+        let route = cluster::route(&answer);
+        let streamed = stream::read(answer).await;
+        assert!(route.starts_with("oriente/zacapa-a/oriente-1>costa-sur/escuintla-a/"), "{route}");
+        assert!(route.ends_with(">asistente-riego-escuintla-a"), "{route}");
+        assert!(streamed.whole, "{streamed:?}");
+        assert_eq!(streamed.events, TOKENS as usize);
+        assert_eq!(streamed.text, direct_answer(&engine_url, number).await);
+    };
+    future::join_all((0..CALLERS).map(ask)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_answer_never_looks_whole() {
+    let cluster = Cluster::start().await;
+    let settings = EngineSettings {
+        can_resume: false,
+        mode: EngineMode { break_after_tokens: Some(10), ..EngineMode::default() },
+        ..EngineSettings::default()
+    };
+    let engine = upstreams::engine(&cluster, "escuintla-a", MODEL, settings).await;
+    upstreams::model_served(&cluster, "oriente-1", MODEL).await;
+    let answer = cluster.ask("oriente-1", MODEL, true, TOKENS).send().await.expect("an answer");
+    let streamed = stream::read(answer).await;
+    assert!(!streamed.whole, "{streamed:?}");
+    let error = streamed.error.expect("an error event");
+    assert_eq!(error["outcome"], "unknown", "{error}");
+    engine.crash().await;
+}
