--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the gateway, with real sockets and fake upstreams.
 
+mod admission;
+mod broken_streams;
 mod cluster;
 mod fake_upstream;
 mod leaving;
