--- a/crates/anvillift-bench/src/engine/http.rs
+++ b/crates/anvillift-bench/src/engine/http.rs
@@ -128,7 +128,9 @@
             res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
             return;
         }
-        let Ok(chat) = req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await else {
+        // The body is read whatever its declared type, as engines do.
+        let body = req.payload_with_max_size(MAX_BODY_BYTES).await.cloned().unwrap_or_default();
+        let Ok(chat) = serde_json::from_slice::<ChatRequest>(&body) else {
             res.status_code(StatusCode::BAD_REQUEST);
             return;
         };
--- a/crates/anvillift-bench/src/fleet/wait.rs
+++ b/crates/anvillift-bench/src/fleet/wait.rs
@@ -4,11 +4,12 @@
 
 use anvillift_schema::public::UpstreamStatus;
 use reqwest::Client;
+use serde_json::json;
 use snafu::ResultExt;
 use tempfile::TempDir;
 use tokio::time::{self, Instant};
 
-use super::keys::OPERATOR_KEY;
+use super::keys::{CALLER_KEY, OPERATOR_KEY};
 use crate::error::{BenchError, LateSnafu, WriteSnafu};
 
 const LIMIT_MS: u64 = 15_000;
@@ -44,6 +45,18 @@
     Ok(())
 }
 
+/// Waits until a host answers a question to a model service.
+pub(super) async fn until_answered(url: &str, service: &str) -> Result<(), BenchError> {
+    let client = Client::new();
+    let chat = format!("{url}/s/{service}/v1/chat/completions");
+    let question = json!({ "messages": [], "max_tokens": 1 });
+    until(&format!("{url} had an answer from {service}"), || async {
+        let request = client.post(&chat).bearer_auth(CALLER_KEY).json(&question);
+        request.send().await.is_ok_and(|answer| answer.status().is_success())
+    })
+    .await
+}
+
 async fn known(client: &Client, url: &str) -> Option<usize> {
     let url = format!("{url}/v1/operator/upstreams");
     let answer = client.get(url).bearer_auth(OPERATOR_KEY).send().await.ok()?;
@@ -55,7 +68,7 @@
     let limit = Instant::now() + Duration::from_millis(LIMIT_MS);
     while !done().await {
         if Instant::now() >= limit {
-            return LateSnafu { what: format!("it is not so that {what}"), limit_ms: LIMIT_MS }
+            return LateSnafu { what: format!("it was not seen that {what}"), limit_ms: LIMIT_MS }
                 .fail();
         }
         time::sleep(Duration::from_millis(PAUSE_MS)).await;
--- a/crates/anvillift-bench/src/lib.rs
+++ b/crates/anvillift-bench/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod listener;
 pub mod load;
 pub mod plain;
+pub mod trial;
--- a/crates/anvillift-gateway/src/running.rs
+++ b/crates/anvillift-gateway/src/running.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anvillift_routing::policy::Policy;
 use anvillift_schema::event::Event;
 use anvillift_schema::membership::HostState;
 use salvo::server::ServerHandle;
@@ -33,6 +34,11 @@
         &self.gateway
     }
 
+    /// Places requests by another policy, for comparisons.
+    pub fn set_policy(&self, policy: Policy) {
+        self.gateway.router.lock().expect("lock").set_policy(policy);
+    }
+
     /// Stops as planned: announces it, refuses new requests, and finishes those in flight.
     pub async fn drain(self) {
         let gateway = self.gateway.clone();
--- a/crates/anvillift-routing/src/router.rs
+++ b/crates/anvillift-routing/src/router.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Places requests by another policy from now on.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Takes a newer view of a service; what this host has under way is added to it.
     ///
     /// Upstreams known since before the host started count as warm: `known_ms`
