Keep the answer of a command while its outcome is recorded

Cause: a command with a key took three rounds one after the other: reserve, store the answer, record the outcome. Ruled out: answering before the record (a host killed right after would leave the key unknown although its caller has the answer). Change: the answer is stored and the outcome recorded at once; a replay that finds the outcome first looks for the answer again for 150 ms. Conclusion: one round less; none about the tail before it is measured.

--- a/crates/anvillift-gateway/src/commands/answers.rs
+++ b/crates/anvillift-gateway/src/commands/answers.rs
@@ -10,6 +10,7 @@
 use anvillift_schema::name::Name;
 use anvillift_schema::payload::Payload;
 use futures_util::future;
+use tokio::time;
 
 use super::groups;
 use crate::gateway::Gateway;
@@ -17,6 +18,9 @@
 
 /// How long another host may take to store or give an answer.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Looks for an answer before it counts as gone.
+const LOOKS: u32 = 4;
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Keeps an answer here and on the replicas that the profile allows.
 pub(super) async fn store(
@@ -41,12 +45,32 @@
 }
 
 /// The answer with a hash, from here or from a replica that the profile allows.
+/// It may be on its way to them while the ledger knows already that it was given.
 pub(super) async fn fetch(
     gateway: &Arc<Gateway>,
     home: &Name,
     profile: &Profile,
     key_hash: &str,
     answer_hash: &str,
+) -> Option<CommandOutcome> {
+    for look in 0..LOOKS {
+        if look > 0 {
+            time::sleep(LOOK_PAUSE).await;
+        }
+        let found = fetch_once(gateway, home, profile, key_hash, answer_hash).await;
+        if found.is_some() {
+            return found;
+        }
+    }
+    None
+}
+
+async fn fetch_once(
+    gateway: &Arc<Gateway>,
+    home: &Name,
+    profile: &Profile,
+    key_hash: &str,
+    answer_hash: &str,
 ) -> Option<CommandOutcome> {
     let kept = lookup(gateway, key_hash, answer_hash);
     if kept.is_some() {
--- a/crates/anvillift-gateway/src/commands/dispatch.rs
+++ b/crates/anvillift-gateway/src/commands/dispatch.rs
@@ -12,7 +12,7 @@
 use anvillift_schema::payload::Payload;
 use anvillift_schema::public::Outcome;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{StreamExt, future};
 use salvo::http::StatusCode;
 use uuid::Uuid;
 
@@ -64,12 +64,18 @@
     let Step::Finish { answer, settle } = step else {
         return Refusal::from(Code::Internal).answer(Some(&id));
     };
-    if let Some(whole) = &whole {
-        answers::store(gateway, home, &request.profile, &key_hash, &whole.outcome()).await;
-    }
-    if let Some(operation) = settle {
-        settle::record(gateway, home, operation).await;
-    }
+    let outcome = whole.as_ref().map(WholeAnswer::outcome);
+    let keeping = async {
+        if let Some(outcome) = outcome {
+            answers::store(gateway, home, &request.profile, &key_hash, &outcome).await;
+        }
+    };
+    let recording = async {
+        if let Some(operation) = settle {
+            settle::record(gateway, home, operation).await;
+        }
+    };
+    future::join(keeping, recording).await;
     match answer {
         attempt::Answer::Whole => match whole {
             Some(whole) => whole.answer,
