Have a majority of the data centre's hosts fence orders

Cause: an order to an upstream that ignores fencing numbers was stopped only by the entry host that had passed on the newer one; with that host gone an older order went through. Ruled out: fencing at the leader alone (it may be frozen between its proof and the send). Change: the entry host has a majority promise to pass on no older order, and gives up when it was frozen meanwhile. One configuration is put in force at a time. Control hosts alive are asked first. Conclusion: promises live in memory; a majority that restarts forgets them.

--- a/crates/anvillift-gateway/src/control/distribution.rs
+++ b/crates/anvillift-gateway/src/control/distribution.rs
@@ -20,7 +20,7 @@
 /// Between two requests.
 const ASK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// How long a request is remembered, in milliseconds.
-const SUBSCRIPTION_MS: u64 = 5_000;
+const SUBSCRIPTION_MS: u64 = 10_000;
 
 /// Asks for newer revisions until the task is aborted.
 pub(super) async fn run(gateway: Weak<Gateway>) {
@@ -101,12 +101,20 @@
         held.take(update).then(|| held.configuration().clone())
     };
     let Some(configuration) = newer else { return };
-    gateway.apply_configuration(Configuration::clone(&configuration));
+    apply(gateway, &configuration);
     gateway.control.changed.notify_waiters();
     gateway.control.changed.notify_one();
     pass_on(gateway, from);
 }
 
+/// Puts a configuration in force; of two at once the newer one stays.
+fn apply(gateway: &Arc<Gateway>, configuration: &Configuration) {
+    let _one_at_a_time = gateway.control.applying();
+    if configuration.revision > gateway.configuration.load().revision {
+        gateway.apply_configuration(configuration.clone());
+    }
+}
+
 fn pass_on(gateway: &Arc<Gateway>, from: &Name) {
     let now_ms = gateway.now_ms();
     let subscribers: Vec<(Name, Subscriber)> = {
--- a/crates/anvillift-gateway/src/control/group.rs
+++ b/crates/anvillift-gateway/src/control/group.rs
@@ -117,8 +117,10 @@
         }
         let Some(gateway) = gateway.upgrade() else { return };
         let caught_up = handle.read_barrier().await.is_ok();
-        let seeded = gateway.control.machine().is_seeded();
-        if caught_up && !seeded {
+        if gateway.control.machine().is_seeded() {
+            return;
+        }
+        if caught_up {
             let seed = ControlCommand::Seed(gateway.settings.configuration.clone());
             handle.propose(encode(&seed)).await.ok();
         }
--- a/crates/anvillift-gateway/src/control/mod.rs
+++ b/crates/anvillift-gateway/src/control/mod.rs
@@ -93,7 +93,12 @@
     Some(leader::answer(gateway, command).await)
 }
 
-/// Passes an order on to an upstream that does not check fencing numbers.
+/// Promises to pass on no older order to an upstream.
+pub(crate) fn note_order(gateway: &Arc<Gateway>, upstream: &Name, fencing: u64) -> PeerAnswer {
+    orders::note(gateway, upstream, fencing)
+}
+
+/// Passes an order on to an upstream of the own data centre.
 pub(crate) async fn dispatch_order(gateway: &Arc<Gateway>, order: FencedOrder) -> PeerAnswer {
     orders::deliver(gateway, order).await
 }
--- a/crates/anvillift-gateway/src/control/orders.rs
+++ b/crates/anvillift-gateway/src/control/orders.rs
@@ -2,12 +2,13 @@
 //!
 //! The leader writes an order, waits out what an earlier leader may have under
 //! way, proves that it still leads, and hands the order to an entry host of
-//! the upstream's data centre. Every order to an upstream passes there, and a
-//! host that has passed on a higher number refuses a lower one, for upstreams
-//! that do not compare the numbers themselves.
+//! the upstream's data centre. Every order to an upstream passes there. For an
+//! upstream that does not compare the numbers itself, the entry host first has
+//! a majority of the hosts of its data centre promise to pass on no older
+//! order, and gives up when it was frozen since it took the order.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anvillift_control::encode;
 use anvillift_replication::{GroupHandle, ProposeError};
@@ -26,6 +27,11 @@
 const PATH: &str = "/v1/orders";
 /// Longest time that an upstream takes to answer an order.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a host of the data centre to promise.
+const PROMISE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time from taking an order to sending it; a host that was frozen in
+/// between gives it up.
+const PROMISE_LIMIT: Duration = Duration::from_millis(750);
 /// Longest time between the leader's proof and the answer: the longest order
 /// that an earlier leader may have under way.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -94,6 +100,7 @@
 
 /// Passes an order on to an upstream of the own data centre.
 pub(super) async fn deliver(gateway: &Arc<Gateway>, fenced: FencedOrder) -> PeerAnswer {
+    let taken = Instant::now();
     let FencedOrder { fencing, order } = &fenced;
     let snapshot = gateway.snapshot.load_full();
     let Some(known) = snapshot.view.upstreams.get(&order.upstream) else {
@@ -101,12 +108,14 @@
     };
     let url = format!("{}{PATH}", known.announcement.url.trim_end_matches('/'));
     if !pass_fence(gateway, &order.upstream, *fencing) {
-        log::warn!(
-            event = Event::OrderFenced.number(), upstream = order.upstream.as_str(),
-            fencing = *fencing;
-            "stopped order {fencing} to {}: a newer one has passed", order.upstream
-        );
-        return inbox::refused(Code::OrderRefused);
+        return stopped(&order.upstream, *fencing);
+    }
+    if !known.announcement.checks_fencing {
+        match promises(gateway, &order.upstream, *fencing).await {
+            Promises::Majority if taken.elapsed() <= PROMISE_LIMIT => (),
+            Promises::Refused => return stopped(&order.upstream, *fencing),
+            _ => return inbox::refused(Code::LinkBroke),
+        }
     }
     let request = gateway.clients.fresh.post(url).timeout(ORDER_TIMEOUT).json(&fenced);
     let status = match request.send().await {
@@ -116,6 +125,53 @@
     PeerAnswer::Outcome(encode(&ControlAnswer::Delivered { fencing: *fencing, status }).into())
 }
 
+fn stopped(upstream: &Name, fencing: u64) -> PeerAnswer {
+    log::warn!(
+        event = Event::OrderFenced.number(), upstream = upstream.as_str(), fencing = fencing;
+        "stopped order {fencing} to {upstream}: a newer one has passed"
+    );
+    inbox::refused(Code::OrderRefused)
+}
+
+/// What the other hosts of the data centre said to an order.
+enum Promises {
+    Majority,
+    TooFew,
+    Refused,
+}
+
+/// Has the hosts of the data centre promise to pass on no older order.
+async fn promises(gateway: &Arc<Gateway>, upstream: &Name, fencing: u64) -> Promises {
+    let peers = gateway.settings.peers.iter();
+    let near = peers.filter(|(_, peer)| peer.data_centre == *gateway.data_centre());
+    let hosts: Vec<Name> = near.map(|(name, _)| name.clone()).collect();
+    let others = hosts.iter().filter(|host| *host != gateway.host());
+    let calls = others.map(|host| {
+        let call = PeerCall::NoteOrder { upstream: upstream.clone(), fencing };
+        gateway.mesh().call(host, call, PROMISE_TIMEOUT)
+    });
+    let mut promised = 1;
+    for answer in futures_util::future::join_all(calls).await {
+        match answer {
+            Ok(PeerAnswer::Outcome(_)) => promised += 1,
+            Ok(PeerAnswer::Refused { code, .. }) if code == Code::OrderRefused.number() => {
+                return Promises::Refused;
+            }
+            _ => (),
+        }
+    }
+    if promised > hosts.len() / 2 { Promises::Majority } else { Promises::TooFew }
+}
+
+/// Promises to pass on no older order to an upstream.
+pub(super) fn note(gateway: &Gateway, upstream: &Name, fencing: u64) -> PeerAnswer {
+    if pass_fence(gateway, upstream, fencing) {
+        PeerAnswer::Outcome(Vec::new().into())
+    } else {
+        inbox::refused(Code::OrderRefused)
+    }
+}
+
 /// Notes the highest number; the same one may pass again, as in a resend.
 fn pass_fence(gateway: &Gateway, upstream: &Name, fencing: u64) -> bool {
     let mut fences = gateway.control.fences();
--- a/crates/anvillift-gateway/src/control/readiness.rs
+++ b/crates/anvillift-gateway/src/control/readiness.rs
@@ -7,6 +7,7 @@
 //! of a host with a disk, else the one of its settings.
 
 use std::sync::Weak;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anvillift_schema::name::Name;
@@ -33,7 +34,9 @@
     if !immediate {
         ask_around(&gateway).await;
     }
-    if let Some(gateway) = gateway.upgrade() {
+    if let Some(gateway) = gateway.upgrade()
+        && !gateway.draining.load(Ordering::Acquire)
+    {
         start::set_ready(&gateway);
     }
 }
--- a/crates/anvillift-gateway/src/control/state.rs
+++ b/crates/anvillift-gateway/src/control/state.rs
@@ -31,6 +31,7 @@
     /// Told when the configuration in force has changed.
     pub(crate) changed: Arc<Notify>,
     held: Mutex<HeldConfiguration>,
+    applying: Mutex<()>,
     subscribers: Mutex<BTreeMap<Name, Subscriber>>,
     /// Highest fencing number passed on, by upstream.
     fences: Mutex<BTreeMap<Name, u64>>,
@@ -51,6 +52,7 @@
             applied: Arc::default(),
             changed: Arc::default(),
             held: Mutex::default(),
+            applying: Mutex::default(),
             subscribers: Mutex::default(),
             fences: Mutex::default(),
             handle: Mutex::default(),
@@ -71,6 +73,11 @@
         lock(&self.held)
     }
 
+    /// Held while a configuration is put in force.
+    pub(crate) fn applying(&self) -> MutexGuard<'_, ()> {
+        lock(&self.applying)
+    }
+
     pub(crate) fn subscribers(&self) -> MutexGuard<'_, BTreeMap<Name, Subscriber>> {
         lock(&self.subscribers)
     }
--- a/crates/anvillift-gateway/src/control/submit.rs
+++ b/crates/anvillift-gateway/src/control/submit.rs
@@ -76,11 +76,18 @@
     if unknown { Reply::Unknown } else { Reply::Elsewhere(None) }
 }
 
-/// The control hosts; the own one, if it is one, is asked first.
+/// The control hosts, of which the last is asked first: the own one, if it is
+/// one, then those alive in the own region.
 fn hosts(gateway: &Gateway) -> Vec<Name> {
     let linked = gateway.mesh().linked();
+    let snapshot = gateway.snapshot.load();
     let voters = gateway.settings.control.voters.iter();
     let mut hosts: Vec<Name> = voters.filter(|host| linked.contains(host)).cloned().collect();
+    hosts.sort_by_key(|host| {
+        let known = snapshot.view.hosts.get(host).filter(|known| known.alive);
+        let near = known.is_some_and(|known| known.record.region == *gateway.region());
+        (known.is_some(), near)
+    });
     if gateway.control.handle().is_some() {
         hosts.push(gateway.host().clone());
     }
--- a/crates/anvillift-gateway/src/inbox.rs
+++ b/crates/anvillift-gateway/src/inbox.rs
@@ -81,6 +81,9 @@
             admission::lease(gateway, &from, &team, Allowance { requests_milli, tokens })
         }
         PeerCall::DispatchOrder(order) => control::dispatch_order(gateway, order).await,
+        PeerCall::NoteOrder { upstream, fencing } => {
+            control::note_order(gateway, &upstream, fencing)
+        }
     }
 }
 
--- a/crates/anvillift-gateway/tests/testsuite/control_orders.rs
+++ b/crates/anvillift-gateway/tests/testsuite/control_orders.rs
@@ -20,26 +20,29 @@
     }
 }
 
+/// An upstream that does not compare fencing numbers.
+async fn upstream(control: &ControlCluster, hosts: &[&str]) -> FakeUpstream {
+    let upstream =
+        FakeUpstream::start(&control.cluster, hosts, "worker", PLAIN, |_, mut responder| async {
+            responder.whole(200, "{}").await;
+            Some(responder)
+        })
+        .await;
+    for host in hosts {
+        wait::until("the upstream is known", async || {
+            let upstreams: Vec<serde_json::Value> =
+                control.get(host, "upstreams").await.expect("upstreams");
+            upstreams.len() == 1
+        })
+        .await;
+    }
+    upstream
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_are_numbered_and_an_older_one_is_stopped() {
     let control = ControlCluster::start(1).await;
-    let upstream = FakeUpstream::start(
-        &control.cluster,
-        &["oriente-1"],
-        "worker",
-        PLAIN,
-        |_, mut responder| async move {
-            responder.whole(200, "{}").await;
-            Some(responder)
-        },
-    )
-    .await;
-    wait::until("the upstream is known", async || {
-        let upstreams: Vec<serde_json::Value> =
-            control.get("oriente-1", "upstreams").await.expect("upstreams");
-        upstreams.len() == 1
-    })
-    .await;
+    let upstream = upstream(&control, &["oriente-1"]).await;
     let first: ControlAnswer =
         control.post("altiplano-1", "orders", &order("first")).await.expect("delivered");
     let ControlAnswer::Delivered { fencing: first, status: 200 } = first else {
@@ -63,3 +66,26 @@
         .collect();
     assert_eq!(seen, [first, second]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_entry_host_knows_what_has_passed() {
+    let mut control = ControlCluster::start(3).await;
+    let upstream = upstream(&control, &["oriente-1", "oriente-2", "oriente-3"]).await;
+    for id in ["first", "second"] {
+        let answer = control.post("altiplano-1", "orders", &order(id)).await;
+        let answer: ControlAnswer = answer.expect("delivered");
+        assert!(matches!(answer, ControlAnswer::Delivered { status: 200, .. }), "{answer:?}");
+    }
+    control.cluster.kill("oriente-1");
+    control.leader().await;
+    wait::until("an older order is stopped by the next entry host", async || {
+        let answer = control.post::<ControlAnswer>("altiplano-1", "orders", &order("first")).await;
+        assert_eq!(upstream.seen().len(), 2, "the older order has passed");
+        answer.is_err_and(|problem| problem.code == Code::OrderRefused.number())
+    })
+    .await;
+    let answer: ControlAnswer =
+        control.post("altiplano-1", "orders", &order("third")).await.expect("delivered");
+    assert!(matches!(answer, ControlAnswer::Delivered { status: 200, .. }), "{answer:?}");
+    assert_eq!(upstream.seen().len(), 3);
+}
