Test control with frozen and killed processes

Cause: a frozen leader is the silent cut that control must survive. Ruled out: promises of the hosts alive only (a host that wakes may take the others for silent and pass an older order on alone). Change: process tests of changes with a control host frozen and one killed of five, and of an order written by a leader that is frozen before it sends it. An order that was not sent is answered as not run, one without an answer as unknown. The tests' layout can have five disks. Before: an order that no majority promised for was answered as delivered. Conclusion: in a data centre of two hosts a silent one blocks orders to upstreams that ignore fencing numbers.

--- a/crates/anvillift-gateway/src/control/endpoints.rs
+++ b/crates/anvillift-gateway/src/control/endpoints.rs
@@ -7,7 +7,7 @@
     Change, ControlAnswer, ControlCommand, ControlStatus, ReplicaReplacement,
 };
 use anvillift_schema::name::Name;
-use anvillift_schema::public::{ChangeAnswer, ChangeStatus};
+use anvillift_schema::public::{ChangeAnswer, ChangeStatus, Outcome};
 use anvillift_schema::upstream::UpstreamOrder;
 use serde::de::DeserializeOwned;
 
@@ -16,6 +16,8 @@
 use crate::gateway::Gateway;
 use crate::problem::Refusal;
 
+/// When an order that was not sent may be submitted again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 2_000;
 /// Largest change, in bytes.
 pub(crate) const MAX_CHANGE_BYTES: u64 = 4 * 1024 * 1024;
 
@@ -52,6 +54,11 @@
         ControlAnswer::Delivered { status, .. } if status == Code::OrderRefused.status() => {
             Err(Code::OrderRefused.into())
         }
+        ControlAnswer::Delivered { status: 0, .. } => Err(Code::UpstreamTimeout.into()),
+        ControlAnswer::Undelivered { code, .. } => {
+            let code = Code::from_number(code).unwrap_or(Code::Internal);
+            Err(Refusal { outcome: Outcome::NotRun, ..Refusal::retry_after(code, RETRY_AFTER_MS) })
+        }
         delivered @ ControlAnswer::Delivered { .. } => Ok(answer::json(&delivered)),
         other => Err(refusal(other)),
     }
--- a/crates/anvillift-gateway/src/control/orders.rs
+++ b/crates/anvillift-gateway/src/control/orders.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use anvillift_control::encode;
+use anvillift_control::{decode_answer, encode};
+use anvillift_mesh::CallError;
 use anvillift_replication::{GroupHandle, ProposeError};
 use anvillift_schema::code::Code;
 use anvillift_schema::configuration::ControlAnswer;
@@ -46,7 +47,7 @@
     let Some(order) = order else { return Err(ProposeError::Unknown) };
     wait_out_earlier_leader(gateway, handle).await?;
     let Some(host) = entry_host(gateway, &order.data_centre) else {
-        return Ok(ControlAnswer::Delivered { fencing, status: 0 });
+        return Ok(undelivered(fencing, Code::NoUpstream));
     };
     // A leader that was frozen since it wrote the order gives up here.
     handle.read_barrier().await?;
@@ -56,23 +57,29 @@
         deliver(gateway, fenced).await
     } else {
         let call = PeerCall::DispatchOrder(fenced);
-        let called = gateway.mesh().call(&host, call, CALL_TIMEOUT).await;
-        called.unwrap_or_else(|_| inbox::refused(Code::LinkBroke))
+        match gateway.mesh().call(&host, call, CALL_TIMEOUT).await {
+            Ok(answer) => answer,
+            Err(CallError::NoLink { .. }) => inbox::refused(Code::LinkBroke),
+            Err(_) => return Ok(ControlAnswer::Delivered { fencing, status: 0 }),
+        }
     };
     log::info!(
         event = Event::OrderSent.number(), upstream = upstream.as_str(), fencing = fencing;
         "order {fencing} went to {upstream} through {host}"
     );
     Ok(match answer {
-        PeerAnswer::Outcome(bytes) => anvillift_control::decode_answer(&bytes)
-            .unwrap_or(ControlAnswer::Delivered { fencing, status: 0 }),
-        PeerAnswer::Refused { code, .. } if code == Code::OrderRefused.number() => {
-            ControlAnswer::Delivered { fencing, status: Code::OrderRefused.status() }
+        PeerAnswer::Outcome(bytes) => {
+            decode_answer(&bytes).unwrap_or(ControlAnswer::Delivered { fencing, status: 0 })
         }
-        _ => ControlAnswer::Delivered { fencing, status: 0 },
+        PeerAnswer::Refused { code, .. } => ControlAnswer::Undelivered { fencing, code },
+        PeerAnswer::Leased { .. } => undelivered(fencing, Code::Internal),
     })
 }
 
+fn undelivered(fencing: u64, code: Code) -> ControlAnswer {
+    ControlAnswer::Undelivered { fencing, code: code.number() }
+}
+
 /// Waits until the lease of an earlier leader and its longest order are over.
 async fn wait_out_earlier_leader(
     gateway: &Arc<Gateway>,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 //! Each module holds one subject; `support` starts and harms the processes.
 
 mod cli;
+mod control;
 mod directory;
 mod drain;
 mod isolation;
--- a/tests/testsuite/support/layout.rs
+++ b/tests/testsuite/support/layout.rs
@@ -47,13 +47,15 @@
 pub(crate) struct ClusterSettings {
     /// Hosts `{region}-1` and on in each of three regions.
     pub(crate) hosts_per_region: u32,
+    /// Hosts with a disk, at most two in a region.
+    pub(crate) disks: usize,
     /// Sections added to each settings file.
     pub(crate) sections: String,
 }
 
 impl Default for ClusterSettings {
     fn default() -> Self {
-        Self { hosts_per_region: 2, sections: String::new() }
+        Self { hosts_per_region: 2, disks: REGIONS.len(), sections: String::new() }
     }
 }
 
@@ -76,15 +78,16 @@
     let ip = own_ip();
     let mut places = BTreeMap::new();
     let mut index = 0;
-    for (region, data_centre) in REGIONS {
+    for (position, (region, data_centre)) in REGIONS.into_iter().enumerate() {
         for number in 1..=settings.hosts_per_region {
+            let disks_before = (number as usize - 1) * REGIONS.len() + position;
             let place = Place {
                 host: format!("{region}-{number}"),
                 region: region.to_owned(),
                 data_centre: data_centre.to_owned(),
                 callers: format!("{ip}:{}", CALLER_PORT + index),
                 links: format!("{ip}:{}", LINK_PORT + index),
-                has_disk: number == 1,
+                has_disk: disks_before < settings.disks,
             };
             index += 1;
             places.insert(place.host.clone(), place);
