--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod broken_streams;
 mod cluster;
+mod commands;
 mod control;
 mod control_cluster;
 mod control_loss;
