--- a/crates/anvillift-mesh/tests/testsuite/classes.rs
+++ b/crates/anvillift-mesh/tests/testsuite/classes.rs
@@ -67,9 +67,9 @@
     time::sleep(SETTLE).await;
     assert!(a.send(&"b".into(), PeerMessage::ConfigurationRequest { after_revision: 1 }));
     relay.open();
-    messages.recv().await.expect("message");
+    pair::soon(messages.recv()).await.expect("message");
     let at_message_bytes = arrived.bulk_bytes.load(Ordering::SeqCst);
-    quick.await.expect("task").expect("answer");
+    pair::soon(quick).await.expect("task").expect("answer");
     let at_quick_bytes = arrived.before_quick_bytes.load(Ordering::SeqCst);
     for stream in bulk {
         stream.await.expect("task").expect("answer");
--- a/crates/anvillift-mesh/tests/testsuite/credits.rs
+++ b/crates/anvillift-mesh/tests/testsuite/credits.rs
@@ -13,6 +13,8 @@
 
 const CREDIT_BYTES: u64 = 32 * 1024;
 const CHUNK_BYTES: usize = 1000;
+/// Far more than the test reads.
+const MAX_SENT_BYTES: u64 = 100 * CREDIT_BYTES;
 const SETTLE: Duration = Duration::from_millis(300);
 
 /// Sends an endless answer and counts what it was allowed to send.
@@ -20,7 +22,10 @@
     let mut sender = stream.answer.answer(pair::answer_head());
     let chunk = Bytes::from(vec![7; CHUNK_BYTES]);
     while sender.send(chunk.clone()).await.is_ok() {
-        sent_bytes.fetch_add(CHUNK_BYTES as u64, Ordering::SeqCst);
+        let sent = sent_bytes.fetch_add(CHUNK_BYTES as u64, Ordering::SeqCst);
+        if sent > MAX_SENT_BYTES {
+            return;
+        }
     }
 }
 
@@ -62,5 +67,5 @@
     let opened = a.open(&"b".into(), LinkClass::Bulk, pair::head(), body.clone().into()).await;
     let mut answer = opened.expect("answer");
     assert!(answer.body.next().await.is_none());
-    assert_eq!(body_rx.recv().await.expect("body"), body);
+    assert_eq!(pair::soon(body_rx.recv()).await.expect("body"), body);
 }
--- a/crates/anvillift-mesh/tests/testsuite/pair.rs
+++ b/crates/anvillift-mesh/tests/testsuite/pair.rs
@@ -26,6 +26,11 @@
     }
 }
 
+/// Waits for something that must happen soon.
+pub(crate) async fn soon<T>(what: impl Future<Output = T>) -> T {
+    time::timeout(LIMIT, what).await.expect("in time")
+}
+
 /// A loopback address that no other test uses.
 pub(crate) fn own_address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(1);
--- a/crates/anvillift-mesh/tests/testsuite/streams.rs
+++ b/crates/anvillift-mesh/tests/testsuite/streams.rs
@@ -29,7 +29,7 @@
     .await;
     let opened = a.open(&"b".into(), LinkClass::Quick, pair::head(), Bytes::new()).await;
     drop(opened.expect("answer"));
-    left_rx.recv().await.expect("the other side saw it");
+    pair::soon(left_rx.recv()).await.expect("the other side saw it");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -46,7 +46,7 @@
     let b = "b".into();
     let opening = a.open(&b, LinkClass::Quick, pair::head(), Bytes::new());
     assert!(time::timeout(Duration::from_millis(200), opening).await.is_err());
-    left_rx.recv().await.expect("the other side saw it");
+    pair::soon(left_rx.recv()).await.expect("the other side saw it");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -84,9 +84,9 @@
     .await;
     let opened = a.open(&"b".into(), LinkClass::Quick, pair::head(), Bytes::new()).await;
     let mut body = opened.expect("answer").body;
-    assert_eq!(body.next().await, Some(Ok(Bytes::from_static(b"some"))));
-    assert_eq!(body.next().await, Some(Err(Code::UpstreamBroke)));
-    assert_eq!(body.next().await, None);
+    assert_eq!(pair::soon(body.next()).await, Some(Ok(Bytes::from_static(b"some"))));
+    assert_eq!(pair::soon(body.next()).await, Some(Err(Code::UpstreamBroke)));
+    assert_eq!(pair::soon(body.next()).await, None);
 }
 
 #[tokio::test(flavor = "multi_thread")]
