Count the burn of real requests and report it

Cause: anvillift report burn asked for counts that no daemon kept.

Ruled out: Counting at the listener: the profile is not known there. Polling the body for its end: hyper asks no further once the declared length is reached.

Change: Watch in the gateway counts each admitted request by its profile's objectives; GET /v1/operator/burn; test module burn. The test of leaving upstreams sets expiry far off.

Before: report burn ended in exit code 10 (no such path).

Conclusion: The report shows what callers got. Answers that a caller left before their end are not counted.

--- a/crates/anvillift-gateway/src/callers/ask.rs
+++ b/crates/anvillift-gateway/src/callers/ask.rs
@@ -11,6 +11,7 @@
 use super::{chat, hops, read_body};
 use crate::admission;
 use crate::answer::Answer;
+use crate::burn::Watch;
 use crate::commands;
 use crate::forward::{self, event_stream};
 use crate::gateway::Gateway;
@@ -57,7 +58,15 @@
             .map_err(|error| Refusal::with_detail(Code::MalformedRequest, error.to_string()))?;
         request.chat = Some(facts);
     }
-    let admitted = admission::admit(gateway, &request.facts(gateway.now_ms())).await?;
+    let answer = serve(gateway, request).await?;
+    Ok(answer.holding(in_flight))
+}
+
+/// Serves a request whose body has been read.
+async fn serve(gateway: &Arc<Gateway>, request: Request) -> Result<Answer, Refusal> {
+    let watch = Watch::start(gateway, &request.profile);
+    let admitted = admission::admit(gateway, &request.facts(gateway.now_ms())).await;
+    let admitted = admitted.inspect_err(|refusal| watch.refused(refusal))?;
     let (id, deadline_ms) = (request.id.clone(), request.deadline_ms);
     let answer = if request.is_command() {
         commands::run(gateway, request).await
@@ -65,8 +74,8 @@
         forward::serve(gateway, request).await
     };
     let deadline = gateway.clock.instant(deadline_ms);
-    let answer = event_stream::end_with_error_event(answer, id, deadline);
-    Ok(answer.holding((in_flight, admitted)))
+    let answer = event_stream::end_with_error_event(watch.over(answer), id, deadline);
+    Ok(answer.holding(admitted))
 }
 
 /// Checks a head and makes a request of it, its body still empty.
--- a/crates/anvillift-gateway/src/gateway.rs
+++ b/crates/anvillift-gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
 use anvillift_schema::settings::HostSettings;
+use anvillift_telemetry::BurnRecorder;
 use arc_swap::ArcSwap;
 
 use crate::admission::AdmissionState;
@@ -41,6 +42,7 @@
     pub(crate) clients: Clients,
     pub(crate) in_flight: InFlight,
     pub(crate) admission: AdmissionState,
+    pub(crate) burn: BurnRecorder,
     pub(crate) control: Control,
     #[allow(dead_code)]
     pub(crate) commands: Commands,
--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod answer;
+mod burn;
 pub mod callers;
 mod client;
 mod clock;
--- a/crates/anvillift-gateway/src/listener.rs
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -33,6 +33,7 @@
     OperatorHosts,
     OperatorUpstreams,
     OperatorConfiguration,
+    OperatorBurn,
     OperatorChanges,
     OperatorChange,
     OperatorOrders,
@@ -51,6 +52,7 @@
     let operator = Router::with_path("v1/operator")
         .push(Router::with_path("hosts").get(at(Endpoint::OperatorHosts)))
         .push(Router::with_path("upstreams").get(at(Endpoint::OperatorUpstreams)))
+        .push(Router::with_path("burn").get(at(Endpoint::OperatorBurn)))
         .push(Router::with_path("configuration").get(at(Endpoint::OperatorConfiguration)))
         .push(Router::with_path("changes/{id}").get(at(Endpoint::OperatorChange)))
         .push(Router::with_path("changes").post(at(Endpoint::OperatorChanges)))
@@ -117,6 +119,7 @@
     ) -> Result<Answer, Refusal> {
         let gateway = &self.gateway;
         match endpoint {
+            Endpoint::OperatorBurn => Ok(operators::burn(gateway)),
             Endpoint::OperatorHosts => Ok(operators::hosts(gateway)),
             Endpoint::OperatorUpstreams => Ok(operators::upstreams(gateway)),
             Endpoint::OperatorControl => control::control_status(gateway),
--- a/crates/anvillift-gateway/src/operators/mod.rs
+++ b/crates/anvillift-gateway/src/operators/mod.rs
@@ -60,6 +60,12 @@
     answer::json(&upstreams)
 }
 
+/// Service-level counts of this host.
+pub(crate) fn burn(gateway: &Gateway) -> Answer {
+    let configuration = gateway.configuration.load();
+    answer::json(&gateway.burn.counters(gateway.host(), gateway.now_ms(), &configuration))
+}
+
 /// The configuration in force on this host.
 pub(crate) fn configuration(gateway: &Gateway) -> Answer {
     answer::json(&**gateway.configuration.load())
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -10,6 +10,7 @@
 use anvillift_schema::event::Event;
 use anvillift_schema::membership::HostState;
 use anvillift_schema::settings::HostSettings;
+use anvillift_telemetry::BurnRecorder;
 use arc_swap::ArcSwap;
 use salvo::Server;
 use salvo::conn::tcp::TcpAcceptor;
@@ -98,6 +99,7 @@
         clients: Clients::new()?,
         in_flight: InFlight::new(),
         admission: AdmissionState::new(&settings.host.name, &settings.limits),
+        burn: BurnRecorder::default(),
         control,
         commands: Commands::default(),
         draining: AtomicBool::new(false),
--- a/tests/testsuite/leave.rs
+++ b/tests/testsuite/leave.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 
 use crate::support::cluster::Cluster;
-use crate::support::layout::{PLAIN, UPSTREAM_KEY};
+use crate::support::layout::{ClusterSettings, PLAIN, UPSTREAM_KEY};
 use crate::support::upstreams;
 use crate::support::wait;
 
@@ -71,7 +71,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_that_leaves_gets_no_work_on_any_host() {
-    let cluster = Cluster::start().await;
+    // Expiry is far off, so that only the word of the upstream can count.
+    let sections = "[timing]\nupstream_expiry_ms = 600000\n".to_owned();
+    let cluster =
+        Cluster::start_with(ClusterSettings { sections, ..ClusterSettings::default() }).await;
     let leaving = Leaving::start(&cluster, "oriente-1").await;
     for host in cluster.hosts.keys() {
         upstreams::plain_served(&cluster, host).await;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each module holds one subject; `support` starts and harms the processes.
 
+mod burn;
 mod cli;
 mod directory;
 mod drain;
