Show control's replicas and replace a lost one

Cause: A lost disk was replaced by hand-written requests, and the answer came before the new replica voted: a second host lost then left no majority (seen in lost_disk_is_replaced_before_a_second_host_is_lost, no leader for 30 s).

Ruled out: Telling operators to look again later: the tool waits until the new replica votes and the old one does not.

Change: anvillift control status and control replace; test module changes with real daemons: in force on every host, racing operators, restart of every host, replaced disk, minority.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod change;
+mod control;
 mod hosts;
 mod order;
 mod profile;
@@ -71,6 +72,7 @@
     Ask(ask::Ask),
     Profile(profile::Profile),
     Change(change::Change),
+    Control(control::Control),
     Order(order::Order),
     Report(report::Report),
     Settings(settings::Settings),
@@ -85,6 +87,7 @@
             Command::Ask(command) => command.execute(&self.client()?, self.format).await,
             Command::Profile(command) => command.execute(&self.client()?, self.format).await,
             Command::Change(command) => command.execute(&self.client()?, self.format).await,
+            Command::Control(command) => command.execute(&self.client()?, self.format).await,
             Command::Order(command) => command.execute(&self.client()?, self.format).await,
             Command::Report(command) => command.execute(&self.client()?, self.format).await,
             Command::Settings(command) => command.execute(self.format),
--- a/src/cmd/order.rs
+++ b/src/cmd/order.rs
@@ -1,6 +1,7 @@
 //! `anvillift order`.
 
-use anvillift_schema::upstream::{FencedOrder, UpstreamOrder, UpstreamOrderAction};
+use anvillift_schema::configuration::ControlAnswer;
+use anvillift_schema::upstream::{UpstreamOrder, UpstreamOrderAction};
 use serde_json::Value;
 use uuid::Uuid;
 
@@ -45,9 +46,14 @@
             argument: self.argument.clone(),
         };
         let answer: Value = client.post("/v1/operator/orders", &order).await?;
-        let text = match serde_json::from_value::<FencedOrder>(answer.clone()) {
-            Ok(fenced) => format!("taken with fencing number {}", fenced.fencing),
-            Err(_) => format!("taken: {answer}"),
+        let text = match serde_json::from_value::<ControlAnswer>(answer.clone()) {
+            Ok(ControlAnswer::Delivered { fencing, status: 0 }) => {
+                format!("logged with fencing number {fencing}; the upstream did not answer")
+            }
+            Ok(ControlAnswer::Delivered { fencing, status }) => {
+                format!("sent with fencing number {fencing}; the upstream answered {status}")
+            }
+            _ => answer.to_string(),
         };
         output::print(format, &answer, text)
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -59,6 +59,9 @@
     /// The answer is not in the published form.
     #[snafu(display("{url} answered in another form: {reason}"))]
     Unreadable { url: String, reason: String },
+    /// What was asked for has begun and is not finished.
+    #[snafu(display("{message}"))]
+    Unfinished { message: String },
     /// No daemon gave its counts.
     #[snafu(display("no daemon answered"))]
     NoDaemon,
--- /dev/null
+++ b/tests/testsuite/changes.rs
@@ -0,0 +1,184 @@
+//! Changes by the operators' tool, against real daemons.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::PathBuf;
+
+use serde_json::Value;
+use tokio::task;
+
+use crate::support::cluster::Cluster;
+use crate::support::tool::Run;
+use crate::support::wait;
+
+fn change_file(cluster: &Cluster, name: &str, priority: u32) -> PathBuf {
+    let path = cluster.folder().join(format!("{name}.ini"));
+    fs::write(&path, format!("[profile {name}]\npriority = {priority}\n")).expect("written");
+    path
+}
+
+fn submit(cluster: &Cluster, host: &str, name: &str, revision: u64, more: &[&str]) -> Run {
+    let path = change_file(cluster, name, 3);
+    let revision = revision.to_string();
+    let mut arguments = vec!["--format", "json", "change", "submit"];
+    arguments.extend([path.to_str().expect("a path"), "--expect-revision", revision.as_str()]);
+    arguments.extend(more);
+    cluster.operate(host, &arguments)
+}
+
+/// Waits until every host has the revision that control began with.
+async fn founded(cluster: &Cluster) -> u64 {
+    let revision = |host: &String| profiles(cluster, host)["revision"].as_u64();
+    let mut first = None;
+    wait::until("every host has control's first revision", async || {
+        let revisions: BTreeSet<Option<u64>> = cluster.hosts.keys().map(revision).collect();
+        first = revisions.first().copied().flatten().filter(|first| *first > 0);
+        revisions.len() == 1 && first.is_some()
+    })
+    .await;
+    first.expect("a revision")
+}
+
+/// Submits a change that must be accepted; gives its id.
+fn accepted(cluster: &Cluster, host: &str, name: &str, revision: u64) -> String {
+    let run = submit(cluster, host, name, revision, &[]);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(run.json()["revision"], revision + 1);
+    run.json()["change_id"].as_str().expect("an id").to_owned()
+}
+
+async fn in_force_everywhere(cluster: &Cluster, host: &str, id: &str) {
+    wait::until("the change is in force in every region", async || {
+        let run = cluster.operate(host, &["--format", "json", "change", "status", id]);
+        if run.code != 0 {
+            return false;
+        }
+        let status = run.json();
+        let regions = status["regions"].as_object().expect("regions");
+        regions.len() == 3 && regions.values().all(|region| region["in_force"] == true)
+    })
+    .await;
+}
+
+fn profiles(cluster: &Cluster, host: &str) -> Value {
+    cluster.operate(host, &["--format", "json", "profile", "list"]).json()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn change_comes_into_force_on_every_host() {
+    let cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    let id = accepted(&cluster, "altiplano-2", "first", first);
+    in_force_everywhere(&cluster, "costa-sur-2", &id).await;
+    for host in cluster.hosts.keys() {
+        assert_eq!(profiles(&cluster, host)["profiles"]["first"]["priority"], 3, "{host}");
+    }
+    let again = submit(&cluster, "oriente-2", "first", first, &["--change-id", &id]);
+    assert_eq!((again.code, &again.json()["revision"]), (0, &Value::from(first + 1)), "{again:?}");
+    let other = submit(&cluster, "oriente-2", "other", first, &["--change-id", &id]);
+    assert_eq!(other.code, 16, "{other:?}");
+    assert!(other.stderr.contains("1602"), "{other:?}");
+    let unknown = cluster.operate("oriente-1", &["change", "status", "no-such-id"]);
+    assert!(unknown.code == 16 && unknown.stderr.contains("1605"), "{unknown:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_operators_is_accepted() {
+    let cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    for revision in first..first + 4 {
+        let (left, right) = (format!("left-{revision}"), format!("right-{revision}"));
+        let runs = task::block_in_place(|| {
+            std::thread::scope(|scope| {
+                let one = scope.spawn(|| submit(&cluster, "oriente-2", &left, revision, &[]));
+                let two = scope.spawn(|| submit(&cluster, "altiplano-1", &right, revision, &[]));
+                [one.join().expect("run"), two.join().expect("run")]
+            })
+        });
+        let mut codes = runs.each_ref().map(|run| run.code);
+        codes.sort_unstable();
+        assert_eq!(codes, [0, 16], "{runs:?}");
+        let loser = runs.iter().find(|run| run.code == 16).expect("a loser");
+        let current = format!("the current revision is {}", revision + 1);
+        assert!(loser.stderr.contains(&current), "{loser:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_changes_outlive_restarts_of_every_host() {
+    let mut cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    for revision in first..first + 5 {
+        accepted(&cluster, "oriente-1", &format!("kept-{revision}"), revision);
+    }
+    let hosts: Vec<String> = cluster.hosts.keys().cloned().collect();
+    for host in &hosts {
+        cluster.kill(host);
+    }
+    cluster.start_all();
+    cluster.settled().await;
+    let id = accepted_when_led(&cluster, first + 5).await;
+    in_force_everywhere(&cluster, "oriente-1", &id).await;
+    for host in &hosts {
+        let shown = profiles(&cluster, host);
+        for revision in first..first + 6 {
+            let name = format!("kept-{revision}");
+            assert_eq!(shown["profiles"][&name]["priority"], 3, "{host} has lost {name}");
+        }
+    }
+}
+
+/// Submits until there is a leader; the change is accepted once.
+async fn accepted_when_led(cluster: &Cluster, revision: u64) -> String {
+    let id = "after-restart";
+    wait::until("a change is accepted", async || {
+        let name = format!("kept-{revision}");
+        submit(cluster, "oriente-1", &name, revision, &["--change-id", id]).code == 0
+    })
+    .await;
+    id.to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_disk_is_replaced_before_a_second_host_is_lost() {
+    let mut cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    accepted(&cluster, "oriente-1", "before", first);
+    cluster.wipe("altiplano-1");
+    accepted(&cluster, "oriente-1", "meanwhile", first + 1);
+    cluster.restart("altiplano-1").await;
+    wait::until("the new replica votes", async || {
+        let run = cluster.operate("oriente-1", &["control", "replace", "altiplano-1"]);
+        run.code == 0
+    })
+    .await;
+    cluster.kill("costa-sur-1");
+    wait::until("the two that remain accept a change", async || {
+        submit(&cluster, "oriente-1", "after", first + 2, &["--change-id", "after"]).code == 0
+    })
+    .await;
+    let shown = profiles(&cluster, "oriente-1");
+    for name in ["before", "meanwhile", "after"] {
+        assert_eq!(shown["profiles"][name]["priority"], 3, "{name} is lost");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn minority_accepts_nothing_and_goes_on_serving() {
+    let cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    accepted(&cluster, "oriente-1", "before", first);
+    cluster.isolate_region("altiplano");
+    let refused = submit(&cluster, "altiplano-1", "minority", first + 1, &["--attempts", "1"]);
+    assert_eq!(refused.code, 16, "{refused:?}");
+    wait::until("the majority accepts a change", async || {
+        submit(&cluster, "oriente-1", "majority", first + 1, &["--change-id", "m"]).code == 0
+    })
+    .await;
+    assert_eq!(profiles(&cluster, "altiplano-1")["revision"], first + 1);
+    cluster.heal();
+    in_force_everywhere(&cluster, "oriente-1", "m").await;
+    let shown = profiles(&cluster, "altiplano-2");
+    assert_eq!(shown["profiles"]["majority"]["priority"], 3);
+    assert!(shown["profiles"]["minority"].is_null(), "{shown}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 //! Each module holds one subject; `support` starts and harms the processes.
 
 mod burn;
+mod changes;
 mod cli;
 mod directory;
 mod drain;
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -199,6 +199,16 @@
         self.ready(host).await;
     }
 
+    /// Starts every host that does not run.
+    pub(crate) fn start_all(&mut self) {
+        for host in self.hosts.values_mut() {
+            if !host.runs() {
+                host.kill();
+                host.start();
+            }
+        }
+    }
+
     /// Ends a host and empties its data folder.
     pub(crate) fn wipe(&mut self, host: &str) {
         self.kill(host);
