--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,8 @@
 //!
 //! Each module holds one subject; `support` starts and harms the processes.
 
+mod burn;
+mod changes;
 mod cli;
 mod commands;
 mod control;
