Compare placement policies under load and faults

A capacity that forgets the slots held while prompts are computed. Change: `anvillift-bench compare FILE` runs each policy on the same seeds, interleaved, then overload, failing workers, a region's return and a flooding team; text, JSON and an SVG plot; each target as met or missed. Callers' connections get no Nagle delay. Before: none.

--- a/crates/anvillift-bench/src/cmd/mod.rs
+++ b/crates/anvillift-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands, one a file.
 
+mod compare;
 mod engine;
 mod plain;
 
@@ -17,6 +18,8 @@
     Engine(engine::EngineCommand),
     /// Stand-in plain service.
     Plain(plain::PlainCommand),
+    /// Comparison of policies.
+    Compare(compare::CompareCommand),
 }
 
 impl Command {
@@ -25,6 +28,7 @@
         match self {
             Self::Engine(command) => command.execute().await,
             Self::Plain(command) => command.execute().await,
+            Self::Compare(command) => command.execute().await,
         }
     }
 }
--- /dev/null
+++ b/crates/anvillift-bench/src/compare/report.rs
@@ -0,0 +1,106 @@
+//! A comparison as text and as JSON.
+
+use std::fmt::Write;
+
+use anvillift_routing::policy::Policy;
+use serde_json::{Value, json};
+
+use super::Comparison;
+use super::measures::{self, Measure, Spread};
+use super::targets::{self, Verdict};
+
+const NAME_WIDTH: usize = 34;
+const CELL_WIDTH: usize = 28;
+
+/// The table and the targets.
+pub fn text(comparison: &Comparison) -> String {
+    let mut text = String::new();
+    let experiment = &comparison.experiment;
+    let seeds: Vec<String> = experiment.seeds.iter().map(u64::to_string).collect();
+    let _ = writeln!(
+        text,
+        "{}: {} % of capacity, seeds {}, {} s measured after {} s; all runs took {} s\n",
+        experiment.name,
+        experiment.load_milli as f64 / 10.0,
+        seeds.join(", "),
+        experiment.duration_s,
+        experiment.warm_up_s,
+        comparison.took_s,
+    );
+    if !comparison.outcomes.is_empty() {
+        table(comparison, &mut text);
+    }
+    for verdict in targets::judge(comparison) {
+        let _ = writeln!(text, "{}: {} ({})", word(&verdict), verdict.target, verdict.measured);
+    }
+    text
+}
+
+fn table(comparison: &Comparison, text: &mut String) {
+    let _ = write!(text, "{:NAME_WIDTH$}", "median [least, largest]");
+    for policy in Policy::ALL {
+        let _ = write!(text, "{:>CELL_WIDTH$}", policy.to_string());
+    }
+    text.push('\n');
+    for measure in &measures::ALL {
+        let _ = write!(text, "{:NAME_WIDTH$}", label(measure));
+        for policy in Policy::ALL {
+            let spread = comparison.spread(policy, measure);
+            let _ = write!(text, "{:>CELL_WIDTH$}", spread.map_or_else(String::new, cell));
+        }
+        text.push('\n');
+    }
+    text.push('\n');
+}
+
+fn label(measure: &Measure) -> String {
+    if measure.unit.is_empty() {
+        return measure.name.to_owned();
+    }
+    format!("{} [{}]", measure.name, measure.unit)
+}
+
+fn cell(spread: Spread) -> String {
+    format!("{:.1} [{:.1}, {:.1}]", spread.median, spread.min, spread.max)
+}
+
+fn word(verdict: &Verdict) -> &'static str {
+    match verdict.met {
+        Some(true) => "met",
+        Some(false) => "MISSED",
+        None => "not measured",
+    }
+}
+
+/// Everything, for other programs.
+pub fn json(comparison: &Comparison) -> Value {
+    let policies: Vec<Value> = Policy::ALL
+        .iter()
+        .filter(|policy| comparison.outcomes.contains_key(&policy.to_string()))
+        .map(
+            |policy| json!({ "policy": policy.to_string(), "measures": rows(comparison, *policy) }),
+        )
+        .collect();
+    json!({
+        "experiment": comparison.experiment.name,
+        "load_milli": comparison.experiment.load_milli,
+        "seeds": comparison.experiment.seeds,
+        "took_s": comparison.took_s,
+        "policies": policies,
+        "targets": targets::judge(comparison),
+    })
+}
+
+fn rows(comparison: &Comparison, policy: Policy) -> Vec<Value> {
+    let rows = measures::ALL.iter().filter_map(|measure| {
+        let spread = comparison.spread(policy, measure)?;
+        Some(json!({
+            "name": measure.name,
+            "unit": measure.unit,
+            "median": spread.median,
+            "min": spread.min,
+            "max": spread.max,
+        }))
+    });
+    rows.collect()
+}
--- a/crates/anvillift-bench/src/lib.rs
+++ b/crates/anvillift-bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! entry hosts. Start at [`engine::start`] and [`plain::start`].
 
 pub mod announce;
+pub mod compare;
 pub mod engine;
 pub mod error;
 pub mod fleet;
--- a/crates/anvillift-bench/src/load/drive.rs
+++ b/crates/anvillift-bench/src/load/drive.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use anvillift_schema::name::Name;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{self, Instant};
 
@@ -16,6 +17,8 @@
 use super::tally::{Seen, Tally};
 
 const MICROS_PER_MS: u64 = 1000;
+/// Answers still open this long after the last arrival are left unfinished.
+const LONGEST_TAIL_MS: u64 = 6_000;
 
 /// Called with each answer that is counted.
 pub type OnSeen = Box<dyn Fn(&Arrival, &Seen) + Send + Sync>;
@@ -34,19 +37,30 @@
     pub on_seen: OnSeen,
 }
 
-/// Sends all arrivals and waits for their answers.
+/// Sends all arrivals and waits for their answers, for a limited time.
 pub async fn drive(settings: DriveSettings, plan: Vec<Arrival>) -> Tally {
     let settings = Arc::new(settings);
     let tally = Arc::new(Mutex::new(Tally::default()));
     let started = Instant::now();
+    let (end_tx, end) = watch::channel(false);
     let mut answers = JoinSet::new();
     for arrival in plan {
         let due = started + arrival.at;
         time::sleep_until(due).await;
-        answers.spawn(send_one(Arc::clone(&settings), arrival, due, Arc::clone(&tally)));
+        answers.spawn(send_one(
+            Arc::clone(&settings),
+            arrival,
+            due,
+            end.clone(),
+            Arc::clone(&tally),
+        ));
         while answers.try_join_next().is_some() {}
     }
-    while answers.join_next().await.is_some() {}
+    let all = async { while answers.join_next().await.is_some() {} };
+    if time::timeout(Duration::from_millis(LONGEST_TAIL_MS), all).await.is_err() {
+        end_tx.send_replace(true);
+        while answers.join_next().await.is_some() {}
+    }
     let tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
     tally.clone()
 }
@@ -55,6 +69,7 @@
     settings: Arc<DriveSettings>,
     arrival: Arrival,
     due: Instant,
+    end: watch::Receiver<bool>,
     tally: Arc<Mutex<Tally>>,
 ) {
     let hosts = settings.hosts.get(&arrival.region).map_or(&[][..], Vec::as_slice);
@@ -62,7 +77,7 @@
         return;
     }
     let host = &hosts[arrival.number as usize % hosts.len()];
-    let seen = settings.caller.send(host, &arrival, due).await;
+    let seen = settings.caller.send(host, &arrival, due, end).await;
     if arrival.at < settings.warm_up {
         return;
     }
--- a/crates/anvillift-bench/src/load/experiment.rs
+++ b/crates/anvillift-bench/src/load/experiment.rs
@@ -146,7 +146,8 @@
 }
 
 impl Class {
-    /// Worker time that a request takes in a full batch.
+    /// Worker time that a request takes in a full batch; it holds its slot while
+    /// its prompt is computed, too.
     fn cost_us(&self, batch: &BatchSettings) -> f64 {
         let full = f64::from(batch.max_running_requests);
         let token_us = batch.step_base_us as f64 / full + batch.step_per_sequence_us as f64;
@@ -154,6 +155,7 @@
         let computed_tokens = self.history_tokens + self.question_tokens - cached_tokens;
         let prefill_us =
             computed_tokens as f64 * MICROS_PER_S / batch.prefill_rate_tokens_per_s as f64;
-        f64::from(self.answer_tokens) * token_us + prefill_us
+        let prefill_steps = computed_tokens as f64 / batch.prefill_chunk_tokens as f64;
+        (f64::from(self.answer_tokens) + prefill_steps) * token_us + prefill_us
     }
 }
--- a/crates/anvillift-bench/src/load/tally.rs
+++ b/crates/anvillift-bench/src/load/tally.rs
@@ -18,6 +18,8 @@
     Refused,
     /// Any other answer, or none.
     Failed,
+    /// None or a part of it when the run ended.
+    Unfinished,
 }
 
 /// One answer as the caller saw it.
@@ -83,11 +85,14 @@
     pub refused: u64,
     /// Failures.
     pub failed: u64,
+    /// Unfinished answers.
+    pub unfinished: u64,
     /// Answers from another region.
     pub away: u64,
     /// Refusals by code.
     pub codes: BTreeMap<u16, u64>,
-    /// To the first token, of whole answers.
+    /// To the first token, of whole and unfinished answers; as long as was
+    /// waited where none came.
     pub first: Times,
     /// Between tokens, of whole answers.
     pub gaps: Times,
@@ -112,6 +117,10 @@
                 self.refusals.add(seen.end_us);
             }
             Ending::Failed => self.failed += 1,
+            Ending::Unfinished => {
+                self.unfinished += 1;
+                self.first.add(seen.first_us);
+            }
         }
         if let Some(code) = seen.code {
             *self.codes.entry(code).or_default() += 1;
@@ -125,6 +134,7 @@
         self.good += other.good;
         self.refused += other.refused;
         self.failed += other.failed;
+        self.unfinished += other.unfinished;
         self.away += other.away;
         for (code, count) in &other.codes {
             *self.codes.entry(*code).or_default() += count;
--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod answer;
+mod bind;
 pub mod callers;
 mod client;
 mod clock;
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -15,9 +15,9 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use snafu::ResultExt;
-use tokio::net::TcpListener;
 
 use crate::admission::AdmissionState;
+use crate::bind;
 use crate::client::Clients;
 use crate::clock::Clock;
 use crate::commands::{self, Commands};
@@ -36,8 +36,7 @@
     /// Starts a gateway on the addresses of its settings.
     pub async fn start(settings: HostSettings) -> Result<RunningGateway, StartError> {
         let address = settings.listen.callers.clone();
-        let listener =
-            TcpListener::bind(&address).await.context(ListenSnafu { address: address.clone() })?;
+        let listener = bind::bind(&address).context(ListenSnafu { address: address.clone() })?;
         let caller_addr = listener.local_addr().context(ListenSnafu { address })?;
         let caller_url = match settings.listen.caller_url.as_str() {
             "" => format!("http://{caller_addr}"),
--- a/crates/anvillift-routing/src/policy.rs
+++ b/crates/anvillift-routing/src/policy.rs
@@ -26,7 +26,8 @@
     /// The place with the fewest outstanding requests for each upstream.
     #[display("least-outstanding")]
     LeastOutstanding,
-    /// The upstream that the first prefix block hashes to.
+    /// The upstream that the first prefix block hashes to; without one, the
+    /// place with the fewest outstanding requests.
     #[display("prefix-affinity")]
     PrefixAffinity,
     /// The least loaded upstream of the own data centre, never another region.
@@ -79,10 +80,13 @@
     let local = local_positions(request, view);
     let choice = match policy {
         Policy::RoundRobin => by_turn(view, &local, &far, turn),
-        Policy::PrefixAffinity => by_turn(view, &local, &far, affinity(request)),
-        Policy::Anvillift | Policy::LeastOutstanding | Policy::NearestRegion => {
-            by_outstanding(view, &local, &far)
+        Policy::PrefixAffinity if !request.prefix_blocks.is_empty() => {
+            by_turn(view, &local, &far, request.prefix_blocks[0])
         }
+        Policy::Anvillift
+        | Policy::LeastOutstanding
+        | Policy::PrefixAffinity
+        | Policy::NearestRegion => by_outstanding(view, &local, &far),
     };
     match choice {
         Some(Choice::Local(position)) => {
@@ -110,10 +114,6 @@
     (0..view.upstreams.len()).filter(untried).collect()
 }
 
-fn affinity(request: &RequestFacts) -> u64 {
-    request.prefix_blocks.first().copied().unwrap_or(request.prompt_tokens)
-}
-
 /// Takes the upstream at `turn`, counting through the own ones, then each data centre's.
 fn by_turn<'a>(
     view: &LoadView,
