Add measures of idle daemons by size and of the data path

Ruled out: counting bytes by /proc/PID/io, which misses send(2); a metric of the daemon, which has none yet. A relay before each daemon counts them. After: not run yet.

--- a/crates/anvillift-bench/src/cmd/mod.rs
+++ b/crates/anvillift-bench/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! Subcommands, one a file.
 
 mod compare;
+mod data_path;
 mod engine;
 mod plain;
+mod slopes;
 
 use std::error::Error;
 use std::io::{self, Write};
@@ -18,6 +20,10 @@
     Engine(engine::EngineCommand),
     /// Stand-in plain service.
     Plain(plain::PlainCommand),
+    /// Idle cost by size.
+    Slopes(slopes::SlopesCommand),
+    /// What a host adds.
+    DataPath(data_path::DataPathCommand),
     /// Comparison of policies.
     Compare(compare::CompareCommand),
 }
@@ -28,6 +34,8 @@
         match self {
             Self::Engine(command) => command.execute().await,
             Self::Plain(command) => command.execute().await,
+            Self::Slopes(command) => command.execute().await,
+            Self::DataPath(command) => command.execute().await,
             Self::Compare(command) => command.execute().await,
         }
     }
--- a/crates/anvillift-bench/src/fleet/mod.rs
+++ b/crates/anvillift-bench/src/fleet/mod.rs
@@ -6,10 +6,10 @@
 
 pub mod keys;
 mod layout;
-mod ports;
+pub(crate) mod ports;
 pub mod relay;
 mod settings;
-mod wait;
+pub(crate) mod wait;
 
 use std::collections::BTreeMap;
 
--- a/crates/anvillift-bench/src/fleet/relay.rs
+++ b/crates/anvillift-bench/src/fleet/relay.rs
@@ -4,6 +4,7 @@
 //! hosts share the link between their regions. Start at [`start`].
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -44,12 +45,23 @@
     settings: PipeSettings,
     free_at: Mutex<Instant>,
     open: watch::Sender<bool>,
+    carried_bytes: AtomicU64,
 }
 
 impl Pipe {
     /// An open pipe.
     pub fn new(settings: PipeSettings) -> Self {
-        Self { settings, free_at: Mutex::new(Instant::now()), open: watch::Sender::new(true) }
+        Self {
+            settings,
+            free_at: Mutex::new(Instant::now()),
+            open: watch::Sender::new(true),
+            carried_bytes: AtomicU64::new(0),
+        }
+    }
+
+    /// Bytes taken in so far.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried_bytes.load(Ordering::Relaxed)
     }
 
     /// Opens the pipe, or cuts it: nothing passes and nobody is told.
@@ -127,6 +139,7 @@
     while let Ok(1..) = from.read_buf(&mut buffer).await {
         let chunk = buffer.split().freeze();
         buffer.reserve(READ_BYTES);
+        pipe.carried_bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
         if tx.send((pipe.release_at(chunk.len()), chunk)).await.is_err() {
             return;
         }
--- a/crates/anvillift-bench/src/fleet/wait.rs
+++ b/crates/anvillift-bench/src/fleet/wait.rs
@@ -16,12 +16,12 @@
 const PAUSE_MS: u64 = 20;
 
 /// A folder that goes away with the fleet.
-pub(super) fn folder() -> Result<TempDir, BenchError> {
+pub(crate) fn folder() -> Result<TempDir, BenchError> {
     tempfile::tempdir().context(WriteSnafu { path: "a temporary folder" })
 }
 
 /// Waits until every host answers that it is ready.
-pub(super) async fn until_ready(urls: &[String]) -> Result<(), BenchError> {
+pub(crate) async fn until_ready(urls: &[String]) -> Result<(), BenchError> {
     let client = Client::new();
     for url in urls {
         until(&format!("{url} was ready"), || async {
@@ -34,7 +34,7 @@
 }
 
 /// Waits until every host knows `count` upstreams.
-pub(super) async fn until_upstreams(urls: &[String], count: usize) -> Result<(), BenchError> {
+pub(crate) async fn until_upstreams(urls: &[String], count: usize) -> Result<(), BenchError> {
     let client = Client::new();
     for url in urls {
         until(&format!("{url} knew {count} upstreams"), || async {
@@ -46,7 +46,7 @@
 }
 
 /// Waits until a host answers a question to a model service.
-pub(super) async fn until_answered(url: &str, service: &str) -> Result<(), BenchError> {
+pub(crate) async fn until_answered(url: &str, service: &str) -> Result<(), BenchError> {
     let client = Client::new();
     let chat = format!("{url}/s/{service}/v1/chat/completions");
     let question = json!({ "messages": [], "max_tokens": 1 });
--- a/crates/anvillift-bench/src/lib.rs
+++ b/crates/anvillift-bench/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod announce;
 pub mod compare;
+pub mod data_path;
 pub mod engine;
 pub mod error;
 pub mod fleet;
 pub mod listener;
 pub mod load;
 pub mod plain;
+pub mod slopes;
 pub mod trial;
--- a/crates/anvillift-bench/src/load/caller.rs
+++ b/crates/anvillift-bench/src/load/caller.rs
@@ -25,6 +25,7 @@
 pub struct Caller {
     client: Client,
     key: String,
+    direct: bool,
 }
 
 impl Caller {
@@ -37,7 +38,12 @@
             .timeout(Duration::from_millis(LONGEST_ANSWER_MS))
             .build()
             .context(ClientSnafu)?;
-        Ok(Self { client, key: key.to_owned() })
+        Ok(Self { client, key: key.to_owned(), direct: false })
+    }
+
+    /// The same caller, asking upstreams themselves.
+    pub fn direct(&self) -> Self {
+        Self { direct: true, ..self.clone() }
     }
 
     /// Sends an arrival to an entry host and watches until `end`. Times count
@@ -71,7 +77,10 @@
     }
 
     fn request(&self, host_url: &str, arrival: &Arrival) -> RequestBuilder {
-        let url = |path: String| format!("{host_url}/s/{}/{path}", arrival.service);
+        let url = |path: String| match self.direct {
+            true => format!("{host_url}/{path}"),
+            false => format!("{host_url}/s/{}/{path}", arrival.service),
+        };
         let pivot = arrival.history;
         let request = match arrival.kind {
             ClassKind::Dossier | ClassKind::Question => {
--- a/crates/anvillift-bench/src/trial/stage.rs
+++ b/crates/anvillift-bench/src/trial/stage.rs
@@ -74,6 +74,16 @@
         &self.fleet
     }
 
+    /// Base URLs of the engines.
+    pub fn engine_urls(&self) -> Vec<String> {
+        self.engines.iter().map(|engine| format!("http://{}", engine.running.addr)).collect()
+    }
+
+    /// Base URLs of the plain services.
+    pub fn plain_urls(&self) -> Vec<String> {
+        self.plains.iter().map(|plain| format!("http://{}", plain.addr)).collect()
+    }
+
     /// Sums over all engines.
     pub fn totals(&self) -> EngineTotals {
         let reports = self.engines.iter().map(|engine| engine.running.report());
