--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod answer;
 mod bind;
+mod burn;
 pub mod callers;
 mod client;
 mod clock;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,11 @@
 //!
 //! Each module holds one subject; `support` starts and harms the processes.
 
+mod burn;
+mod changes;
 mod cli;
+mod commands;
+mod control;
 mod directory;
 mod drain;
 mod isolation;
