Bound heads, bodies, slow senders and stalled readers; test stops and placement

Cause: bounds of what is read from outside, planned stops, placement and loops had no tests; a request could enter between the last look at the requests in flight and the end of a planned stop. Ruled out: reading whole answers of a fast upstream into memory; a larger write buffer per connection. Change: heads above the limit get 1002; write buffers and unsent kernel bytes of a caller's connection are bounded; small chunks are copied off the read buffer; a request is counted before the host is asked whether it is open. An upstream that floods without pause still costs more than 64 KiB: the HTTP client's read buffer grows with what it finds, and reqwest has no bound for it.

--- /dev/null
+++ b/crates/anvillift-daemon/tests/testsuite/daemon.rs
@@ -0,0 +1,169 @@
+//! Daemons as processes of their own.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::process::{self, Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use reqwest::{Client, RequestBuilder};
+use sha2::{Digest, Sha256};
+use tempfile::TempDir;
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::time::{self, Instant};
+
+pub(crate) const CALLER_KEY: &str = "caller-key";
+pub(crate) const UPSTREAM_KEY: &str = "upstream-key";
+pub(crate) const MODEL: &str = "asistente-riego";
+pub(crate) const PLAIN: &str = "control-pivotes";
+const PORT: u16 = 7103;
+const LIMIT: Duration = Duration::from_secs(120);
+const POLL: Duration = Duration::from_millis(5);
+
+/// Polls a condition until it holds.
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let limit = Instant::now() + LIMIT;
+    while !holds().await {
+        assert!(Instant::now() < limit, "timed out waiting until {what}");
+        time::sleep(POLL).await;
+    }
+}
+
+/// One daemon.
+pub(crate) struct Daemon {
+    pub(crate) caller: String,
+    child: Child,
+    _folder: TempDir,
+}
+
+/// Daemons `h1`, `h2` and so on, each in a region of its own.
+pub(crate) struct Daemons {
+    pub(crate) hosts: Vec<Daemon>,
+    pub(crate) client: Client,
+    _alone: MutexGuard<'static, ()>,
+}
+
+/// Held by the test that runs daemons: one with many streams starves another's.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+impl Daemons {
+    pub(crate) async fn start(count: usize) -> Self {
+        let alone = ALONE.lock().await;
+        let addresses: Vec<[String; 2]> =
+            (0..count).map(|_| [own_address(), own_address()]).collect();
+        let hosts = (0..count).map(|number| spawn(number, &addresses)).collect();
+        let client = Client::builder().no_proxy().build().expect("client");
+        let daemons = Self { hosts, client, _alone: alone };
+        for host in 0..count {
+            until("the directory lists all hosts", async || {
+                let path = format!("/v1/hosts?service={PLAIN}");
+                let Ok(answer) = daemons.get(host, &path).send().await else { return false };
+                let text = answer.text().await.unwrap_or_default();
+                text.matches("\"host\"").count() == count
+            })
+            .await;
+        }
+        daemons
+    }
+
+    pub(crate) fn get(&self, host: usize, path: &str) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.hosts[host].caller);
+        self.client.get(url).bearer_auth(CALLER_KEY)
+    }
+
+    /// A streamed question.
+    pub(crate) fn chat(&self, host: usize) -> RequestBuilder {
+        let url = format!("http://{}/s/{MODEL}/v1/chat/completions", self.hosts[host].caller);
+        let body = serde_json::json!({ "stream": true, "messages": [] });
+        self.client.post(url).bearer_auth(CALLER_KEY).json(&body)
+    }
+}
+
+impl Daemon {
+    /// Memory in use, in bytes.
+    pub(crate) fn resident_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("status");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("VmRSS");
+        let kib: u64 =
+            line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("KiB");
+        kib * 1024
+    }
+
+    /// Asks for a planned stop.
+    pub(crate) fn terminate(&self) {
+        let sent = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill").success());
+    }
+
+    pub(crate) fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("wait")
+    }
+
+    pub(crate) async fn exited(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the daemon has exited", async || {
+            status = self.exit_status();
+            status.is_some()
+        })
+        .await;
+        status.expect("status")
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = process::id();
+    format!("127.{}.{}.{number}:{PORT}", 64 + (process >> 8) % 128, process & 0xff)
+}
+
+fn spawn(number: usize, addresses: &[[String; 2]]) -> Daemon {
+    let folder = TempDir::new().expect("folder");
+    let file = folder.path().join("settings.ini");
+    fs::write(&file, settings(number, addresses)).expect("settings");
+    let child = Command::new(env!("CARGO_BIN_EXE_anvilliftd"))
+        .arg("--settings")
+        .arg(&file)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("spawn");
+    Daemon { caller: addresses[number][0].clone(), child, _folder: folder }
+}
+
+fn settings(number: usize, addresses: &[[String; 2]]) -> String {
+    let [callers, links] = &addresses[number];
+    let mut text = format!(
+        "[host]\nname = h{0}\nregion = region-{0}\ndata_centre = dc-{0}\n\
+         [listen]\ncallers = {callers}\nlinks = {links}\n\
+         [keys]\nlink_key = {1}\nupstream_key_hashes = {2}\noperator_key_hashes = {3}\n\
+         [log]\nlevel = error\n\
+         [profile riego]\nfirst_token_target_ms = 60000\n\
+         [service {MODEL}]\nkind = model\nprofile = riego\n\
+         [service {PLAIN}]\nkind = plain\nprofile = riego\n\
+         [team zacapa]\nkey_hashes = {4}\nhome = region-0\n",
+        number,
+        "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff",
+        hash(UPSTREAM_KEY),
+        hash("operator-key"),
+        hash(CALLER_KEY),
+    );
+    for (peer, [_, link]) in addresses.iter().enumerate() {
+        let _ = write!(
+            text,
+            "[peer h{peer}]\nregion = region-{peer}\ndata_centre = dc-{peer}\nlink = {link}\n"
+        );
+    }
+    text
+}
+
+fn hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key))
+}
--- a/crates/anvillift-gateway/src/callers/ask.rs
+++ b/crates/anvillift-gateway/src/callers/ask.rs
@@ -44,8 +44,8 @@
 }
 
 async fn run(gateway: &Arc<Gateway>, id: &Name, mut question: Question) -> Result<Answer, Refusal> {
-    gateway.check_open()?;
     let in_flight = gateway.in_flight.enter();
+    gateway.check_open()?;
     let body = question.body.take();
     let mut request = read_head(gateway, id, &question)?;
     let limit_bytes = request.profile.max_body_bytes;
--- a/crates/anvillift-gateway/src/forward/incoming.rs
+++ b/crates/anvillift-gateway/src/forward/incoming.rs
@@ -43,8 +43,8 @@
     head: ForwardHead,
     body: &mut BodyReceiver,
 ) -> Result<Answer, Refusal> {
-    gateway.check_open()?;
     let in_flight = gateway.in_flight.enter();
+    gateway.check_open()?;
     let mut request = read_head(gateway, head)?;
     let timeout = Duration::from_millis(gateway.settings.limits.body_timeout_ms);
     let limit_bytes = request.profile.max_body_bytes;
--- a/crates/anvillift-gateway/src/forward/local.rs
+++ b/crates/anvillift-gateway/src/forward/local.rs
@@ -4,6 +4,7 @@
 
 use anvillift_schema::code::Code;
 use anvillift_schema::name::Name;
+use bytes::Bytes;
 use futures_util::StreamExt;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use tokio::time;
@@ -15,6 +16,9 @@
 use crate::headers;
 use crate::request::Request;
 
+/// Chunks up to this length are copied, in bytes.
+const MAX_COPIED_BYTES: usize = 4 * 1024;
+
 /// Sends a request to an upstream and waits for the head of the answer.
 pub(crate) async fn attempt(
     gateway: &Arc<Gateway>,
@@ -69,7 +73,12 @@
 /// Body of an upstream's answer.
 pub(super) fn to_answer_stream(response: Response) -> AnswerStream {
     let body = response.bytes_stream();
-    Box::pin(body.map(|item| item.map_err(|_| Code::UpstreamBroke)))
+    Box::pin(body.map(|item| item.map(detach).map_err(|_| Code::UpstreamBroke)))
+}
+
+/// Copies a small chunk, so that it does not keep the buffer it was read into.
+fn detach(chunk: Bytes) -> Bytes {
+    if chunk.len() <= MAX_COPIED_BYTES { Bytes::copy_from_slice(&chunk) } else { chunk }
 }
 
 /// The visited hosts and regions, with this host and its region.
--- a/crates/anvillift-gateway/src/listener.rs
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -19,6 +19,8 @@
 
 /// Path of chat completions, for callers that name the service in a header.
 const CHAT_PATH: &str = "/v1/chat/completions";
+/// Bytes of a header line beside its name and value.
+const HEADER_LINE_BYTES: usize = 4;
 const SERVICE_PREFIX: &str = "/s/";
 
 /// What an endpoint does.
@@ -88,6 +90,7 @@
 impl EndpointHandler {
     async fn run(&self, request: &mut Request) -> Result<Answer, Refusal> {
         let gateway = &self.gateway;
+        check_head(gateway, request)?;
         match self.endpoint {
             Endpoint::Ask | Endpoint::AskByHeader => {
                 let question = self.question(request)?;
@@ -161,6 +164,16 @@
     Some((service.to_owned(), format!("/{rest}")))
 }
 
+/// Refuses a head that is larger than the limit.
+fn check_head(gateway: &Gateway, request: &Request) -> Result<(), Refusal> {
+    let headers = request.headers().iter();
+    let headers_bytes: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES).sum();
+    let limit_bytes = gateway.settings.limits.max_header_bytes;
+    let head_bytes = (request.uri().to_string().len() + headers_bytes) as u64;
+    if head_bytes > limit_bytes { Err(Code::HeadTooLarge.into()) } else { Ok(()) }
+}
+
 fn missing_service() -> Refusal {
     Refusal::with_detail(Code::MalformedRequest, "the header Anvillift-Service is missing")
 }
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -1,5 +1,6 @@
 //! Starting a gateway.
 
+use std::io;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -15,6 +16,7 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use snafu::ResultExt;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 
 use crate::admission::AdmissionState;
@@ -32,12 +34,18 @@
 use crate::running::RunningGateway;
 use crate::snapshot::Snapshot;
 
+/// Bytes of an answer that may wait unsent in the kernel.
+const UNSENT_BYTES: u32 = 16 * 1024;
+/// Largest heads that fit into the buffer of a connection.
+const HEADS_PER_BUFFER: u64 = 2;
+/// Least that the HTTP library takes as the bound of its buffers, in bytes.
+const MIN_BUFFER_BYTES: u64 = 8 * 1024;
+
 impl Gateway {
     /// Starts a gateway on the addresses of its settings.
     pub async fn start(settings: HostSettings) -> Result<RunningGateway, StartError> {
         let address = settings.listen.callers.clone();
-        let listener =
-            TcpListener::bind(&address).await.context(ListenSnafu { address: address.clone() })?;
+        let listener = bind(&address).await.context(ListenSnafu { address: address.clone() })?;
         let caller_addr = listener.local_addr().context(ListenSnafu { address })?;
         let caller_url = match settings.listen.caller_url.as_str() {
             "" => format!("http://{caller_addr}"),
@@ -70,6 +78,14 @@
     }
 }
 
+/// Listens, with little room in the kernel for what slow readers do not take.
+/// Accepted connections inherit the option.
+async fn bind(address: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await?;
+    SockRef::from(&listener).set_tcp_notsent_lowat(UNSENT_BYTES)?;
+    Ok(listener)
+}
+
 fn build(settings: HostSettings, caller_url: String) -> Result<Gateway, StartError> {
     let incarnation = unix_ms();
     let control = Control::open(&settings).context(StorageSnafu)?;
@@ -131,7 +147,11 @@
     let limits = &gateway.settings.limits;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_millis(limits.header_timeout_ms));
-    Server::new(acceptor).fuse_config(fuse)
+    let mut server = Server::new(acceptor).fuse_config(fuse);
+    // Heads above the limit but below the buffer get an answer with a number.
+    let buffer_bytes = (HEADS_PER_BUFFER * limits.max_header_bytes).max(MIN_BUFFER_BYTES);
+    server.http1_mut().max_buf_size(buffer_bytes as usize);
+    server
 }
 
 fn unix_ms() -> u64 {
--- /dev/null
+++ b/crates/anvillift-gateway/tests/chat_body.rs
@@ -0,0 +1,35 @@
+//! No body breaks the reader of questions.
+
+use anvillift_gateway::callers::chat;
+use proptest::prelude::*;
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..2048)) {
+        let _ = chat::parse(&bytes);
+    }
+
+    #[test]
+    fn any_change_of_a_question_is_read_or_refused(
+        position in 0_usize..100,
+        byte in any::<u8>(),
+    ) {
+        let mut body = br#"{"model":"m","stream":true,"max_tokens":7,
+            "messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}"#.to_vec();
+        let length = body.len();
+        body[position % length] = byte;
+        let _ = chat::parse(&body);
+    }
+
+    #[test]
+    fn the_facts_of_a_question_are_read(stream in any::<bool>(), tokens in any::<u64>()) {
+        let body = serde_json::json!({
+            "model": "m", "stream": stream, "max_tokens": tokens,
+            "messages": [{ "role": "user", "content": "x".repeat(3000) }],
+        });
+        let facts = chat::parse(body.to_string().as_bytes()).expect("a question");
+        prop_assert_eq!(facts.model.as_deref().map(|name| &**name), Some("m"));
+        prop_assert_eq!((facts.stream, facts.answer_tokens), (stream, tokens));
+        prop_assert_eq!(facts.prefix_blocks.len(), 2);
+    }
+}
--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -123,8 +123,11 @@
         }
         for host in self.running.keys() {
             let all = self.running.len();
-            wait::until("every host is in the directory", async || {
-                self.directory(host, PLAIN).await.hosts.len() == all
+            wait::until("every host knows every other", async || {
+                let url = self.url(host) + "/v1/operator/hosts";
+                let request = self.client.get(url).bearer_auth(OPERATOR_KEY);
+                let answer = request.send().await.expect("answer").text().await.expect("text");
+                answer.matches(r#""state":"ready""#).count() == all
             })
             .await;
         }
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway, with real sockets and fake upstreams.
 
 mod admission;
+mod bad_requests;
 mod broken_streams;
 mod cluster;
 mod control;
@@ -9,5 +10,7 @@
 mod control_orders;
 mod fake_upstream;
 mod leaving;
+mod loops;
+mod placement;
 mod thin_path;
 mod wait;
