--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use anvillift_membership::links::{self, GroupHosts};
 use anvillift_membership::members::{Members, MembersSettings};
 use anvillift_mesh::{Mesh, MeshSettings};
 use anvillift_routing::router::{Router, RouterSettings};
 use anvillift_schema::event::Event;
 use anvillift_schema::membership::HostState;
-use anvillift_schema::settings::HostSettings;
+use anvillift_schema::settings::{GroupSettings, HostSettings};
 use anvillift_telemetry::BurnRecorder;
 use arc_swap::ArcSwap;
 use salvo::Server;
@@ -33,6 +34,11 @@
 use crate::running::RunningGateway;
 use crate::snapshot::Snapshot;
 
+/// Largest heads that fit into the buffer of a connection.
+const HEADS_PER_BUFFER: u64 = 2;
+/// Least that the HTTP library takes as the bound of its buffers, in bytes.
+const MIN_BUFFER_BYTES: u64 = 8 * 1024;
+
 impl Gateway {
     /// Starts a gateway on the addresses of its settings.
     pub async fn start(settings: HostSettings) -> Result<RunningGateway, StartError> {
@@ -113,6 +119,7 @@
         identity: settings.host.clone(),
         incarnation: unix_ms(),
         peers: settings.peers.clone(),
+        linked: Some(links::links(&settings.host.name, &settings.peers, &group_hosts(settings))),
         link_key: settings.keys.link_key.clone(),
         tls: settings.tls.clone().filter(|tls| tls.links),
         listen: settings.listen.links.clone(),
@@ -121,6 +128,14 @@
     }
 }
 
+fn group_hosts(settings: &HostSettings) -> GroupHosts {
+    let voters = |group: &GroupSettings| group.voters.iter().cloned().collect();
+    GroupHosts {
+        control: voters(&settings.control),
+        ledgers: settings.ledgers.values().map(voters).collect(),
+    }
+}
+
 /// Marks the host ready to take requests.
 pub(crate) fn set_ready(gateway: &Arc<Gateway>) {
     gateway.ready.store(true, std::sync::atomic::Ordering::Release);
@@ -132,7 +147,11 @@
     let limits = &gateway.settings.limits;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_millis(limits.header_timeout_ms));
-    Server::new(acceptor).fuse_config(fuse)
+    let mut server = Server::new(acceptor).fuse_config(fuse);
+    // Heads above the limit but below the buffer get an answer with a number.
+    let buffer_bytes = (HEADS_PER_BUFFER * limits.max_header_bytes).max(MIN_BUFFER_BYTES);
+    server.http1_mut().max_buf_size(buffer_bytes as usize);
+    server
 }
 
 fn unix_ms() -> u64 {
--- a/crates/anvillift-mesh/src/mesh.rs
+++ b/crates/anvillift-mesh/src/mesh.rs
@@ -47,7 +47,7 @@
 }
 
 impl Mesh {
-    /// Listens, and dials the hosts whose names are greater than the own.
+    /// Listens, and dials the hosts to be linked whose names are greater than the own.
     pub async fn start(settings: MeshSettings, inbox: MeshInbox) -> Result<Self, StartError> {
         let listener = TcpListener::bind(&settings.listen)
             .await
@@ -62,9 +62,12 @@
             address,
         });
         tokio::spawn(shared.clone().listen(listener));
-        let own = &shared.settings.identity.name;
-        for (name, peer) in shared.settings.peers.iter().filter(|(name, _)| *name > own) {
-            tokio::spawn(shared.clone().keep_dialling(name.clone(), peer.link.clone()));
+        let MeshSettings { identity, peers, linked, .. } = &*shared.settings;
+        let wanted = |name: &Name| linked.as_ref().is_none_or(|linked| linked.contains(name));
+        for (name, peer) in peers.iter().filter(|(name, _)| **name > identity.name) {
+            if wanted(name) {
+                tokio::spawn(shared.clone().keep_dialling(name.clone(), peer.link.clone()));
+            }
         }
         Ok(Self { shared })
     }
