--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -52,14 +52,7 @@
         mut machine: GroupMachine,
         send: SendFn,
     ) -> GroupHandle {
-        let replica_settings = ReplicaSettings {
-            group: settings.group.clone(),
-            form_voters: settings.voters,
-            election_timeout_ms: settings.timing.election_timeout_ms,
-            heartbeat_ms: settings.timing.heartbeat_ms,
-            replace_restarted: settings.replace_restarted,
-            ..ReplicaSettings::default()
-        };
+        let replica_settings = replica_settings(&settings);
         let (storage, recovered) = match settings.storage {
             Some(opened) => (Some(opened.storage), recover(opened.recovered, &mut machine)),
             None => (None, Recovered::default()),
@@ -268,6 +261,17 @@
     }
 }
 
+fn replica_settings(settings: &GroupDriverSettings) -> ReplicaSettings {
+    ReplicaSettings {
+        group: settings.group.clone(),
+        form_voters: settings.voters.clone(),
+        election_timeout_ms: settings.timing.election_timeout_ms,
+        heartbeat_ms: settings.timing.heartbeat_ms,
+        replace_restarted: settings.replace_restarted,
+        ..ReplicaSettings::default()
+    }
+}
+
 fn refuse(input: Input) -> Vec<Effect> {
     match input {
         Input::Propose { reply, .. } => {
--- a/crates/anvillift-storage/src/recovery.rs
+++ b/crates/anvillift-storage/src/recovery.rs
@@ -119,15 +119,20 @@
             file::replace(io, framing, &files.refetch, &upto)?;
         }
         remove_all(io, later)?;
-        let good_bytes = if gap { 0 } else { content.good_bytes };
-        segment.cut(good_bytes)?;
-        segment.note(&SegmentContent { good_bytes, ..content });
-        replayed.segments.push(segment);
+        replayed.segments.push(cut(segment, content, gap)?);
         break;
     }
     Ok(replayed)
 }
 
+/// Cuts a segment after its good frames, or all of it when it does not follow on.
+fn cut(mut segment: Segment, content: SegmentContent, gap: bool) -> Result<Segment, StorageError> {
+    let good_bytes = if gap { 0 } else { content.good_bytes };
+    segment.cut(good_bytes)?;
+    segment.note(&SegmentContent { good_bytes, ..content });
+    Ok(segment)
+}
+
 /// Whether the batches go on from the entries without a gap.
 fn follow_on(entries: &[Entry], batches: &[Vec<Entry>]) -> bool {
     let mut next_index = entries.last().map(|last| last.index + 1);
