Bound what the log sends at a time

Cause: messages of a link are sent in turn; 256 KiB of entries hold a heartbeat back for more than an election timeout on a link of 2 Mbit/s. Conclusion: not measured on a narrowed link.

--- a/crates/anvillift-consensus/src/settings.rs
+++ b/crates/anvillift-consensus/src/settings.rs
@@ -40,9 +40,9 @@
             clock_drift_milli: 50,
             trailing_entries: 1_000,
             max_message_entries: 1_024,
-            max_message_bytes: 256 * 1024,
-            max_in_flight_entries: 8_192,
-            snapshot_part_bytes: 256 * 1024,
+            max_message_bytes: 32 * 1024,
+            max_in_flight_entries: 1_024,
+            snapshot_part_bytes: 32 * 1024,
             replace_restarted: false,
         }
     }
--- a/crates/anvillift-gateway/src/control/endpoints.rs
+++ b/crates/anvillift-gateway/src/control/endpoints.rs
@@ -19,7 +19,7 @@
 /// When an order that was not sent may be submitted again, in milliseconds.
 const RETRY_AFTER_MS: u64 = 2_000;
 /// Largest change, in bytes.
-pub(crate) const MAX_CHANGE_BYTES: u64 = 4 * 1024 * 1024;
+pub(crate) const MAX_CHANGE_BYTES: u64 = 512 * 1024;
 
 /// Submits a change.
 pub(crate) async fn submit_change(gateway: &Arc<Gateway>, body: &[u8]) -> Result<Answer, Refusal> {
