Give test hosts more than 255 addresses

Cause: with control's tests the hosts of one run outgrow the last part of the loopback address, and the tests that came last could not listen. Change: 250 addresses a port, then the next port.

--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -26,6 +26,8 @@
 const RESTART_LIMIT: Duration = Duration::from_secs(20);
 const RESTART_PAUSE: Duration = Duration::from_millis(50);
 const LINK_PORT: u16 = 7101;
+/// Addresses taken before the next port.
+const LINKS_PER_PORT: u32 = 250;
 const REGIONS: [(&str, &str); 3] =
     [("oriente", "zacapa-a"), ("costa-sur", "escuintla-a"), ("altiplano", "xela-a")];
 
@@ -150,7 +152,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: format!("{}:{LINK_PORT}", own_ip()),
+                link: own_link(),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -158,12 +160,18 @@
     peers
 }
 
-/// A loopback address that no other test uses.
-fn own_ip() -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
+/// A loopback address and port that no other test uses.
+fn own_link() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = process::id();
-    format!("127.{}.{}.{}", 64 + (process >> 8) % 128, process & 0xff, number)
+    let ip = format!(
+        "127.{}.{}.{}",
+        64 + (process >> 8) % 128,
+        process & 0xff,
+        1 + number % LINKS_PER_PORT
+    );
+    format!("{ip}:{}", LINK_PORT + (number / LINKS_PER_PORT) as u16)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
