--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -26,6 +26,8 @@
 const RESTART_LIMIT: Duration = Duration::from_secs(20);
 const RESTART_PAUSE: Duration = Duration::from_millis(50);
 const LINK_PORT: u16 = 7101;
+/// Loopback addresses of one test process.
+const IPS: u32 = 254;
 const REGIONS: [(&str, &str); 3] =
     [("oriente", "zacapa-a"), ("costa-sur", "escuintla-a"), ("altiplano", "xela-a")];
 
@@ -150,7 +152,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: format!("{}:{LINK_PORT}", own_ip()),
+                link: own_address(),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -159,11 +161,12 @@
 }
 
 /// A loopback address that no other test uses.
-fn own_ip() -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
+fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = process::id();
-    format!("127.{}.{}.{}", 64 + (process >> 8) % 128, process & 0xff, number)
+    let (ip, port) = (1 + number % IPS, u32::from(LINK_PORT) + number / IPS);
+    format!("127.{}.{}.{ip}:{port}", 64 + (process >> 8) % 128, process & 0xff)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
