Tell the dispatch deadline and pooled connections apart in their tests

Cause: with the dispatch deadline ignored, and with pooled connections for commands, the process tests passed: an earlier limit caught the first, and the stand-in made no use of an idle connection in the second. Ruled out: leaving both to the unit tests. Change: a proposal is given up after an election timeout, apart from the dispatch deadline; the frozen host wakes within it and past its deadline; an upstream that closes a connection as a second request arrives on it. Before: each test passed with its mechanism removed. After: a_host_frozen_between_reserving_and_sending_sends_nothing fails with the deadline ignored (the command ran) and a_command_never_meets_a_pooled_connection_that_is_being_closed fails with the pooled client (502); both pass with them, the first three times of three. Conclusion: both mechanisms are held by a test of their own.

--- a/crates/anvillift-gateway/src/commands/proposal.rs
+++ b/crates/anvillift-gateway/src/commands/proposal.rs
@@ -136,8 +136,7 @@
     machine::decode_verdict(verdict).map_or(Asked::Unknown, Asked::Verdict)
 }
 
-/// A proposal is given up within the dispatch deadline.
+/// A proposal that has no verdict after an election timeout is given up.
 fn limit(gateway: &Gateway) -> Duration {
-    let timing = &gateway.settings.timing;
-    Duration::from_millis(timing.dispatch_deadline_ms.min(timing.election_timeout_ms))
+    Duration::from_millis(gateway.settings.timing.election_timeout_ms)
 }
--- a/crates/anvillift-gateway/tests/testsuite/commands.rs
+++ b/crates/anvillift-gateway/tests/testsuite/commands.rs
@@ -141,6 +141,29 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_command_never_meets_a_pooled_connection_that_is_being_closed() {
+    /// Closes a connection just as a second request arrives on it.
+    async fn closing(request: SeenRequest, mut responder: Responder) -> Option<Responder> {
+        if request.earlier > 0 {
+            return None;
+        }
+        responder.whole(200, "{}").await;
+        Some(responder)
+    }
+    let cluster = cluster().await;
+    let upstream = FakeUpstream::start(&cluster, &["oriente-1"], "p1", PLAIN, closing).await;
+    ready(&cluster, "oriente-1").await;
+    for round in 0..10 {
+        // A reading leaves an idle connection behind.
+        cluster.served("oriente-1", &format!("/s/{PLAIN}/pivots/7")).await;
+        let key = format!("pooled-{round}");
+        let answer = command(&cluster, "oriente-1", &key).send().await.expect("answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        assert_eq!(runs(&upstream, &key), 1);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_connection_is_not_run_and_leaves_the_key_free() {
     let cluster = cluster().await;
--- a/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
+++ b/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
@@ -21,6 +21,8 @@
     pub(crate) path: String,
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) body: String,
+    /// Requests before it on its connection.
+    pub(crate) earlier: usize,
 }
 
 impl SeenRequest {
@@ -182,7 +184,10 @@
         let (seen, open, answering) = (seen.clone(), open.clone(), answering.clone());
         tokio::spawn(async move {
             let mut responder = Responder { stream };
-            while let Some(request) = read_request(&mut responder.stream).await {
+            let mut earlier = 0;
+            while let Some(mut request) = read_request(&mut responder.stream).await {
+                request.earlier = earlier;
+                earlier += 1;
                 seen.lock().expect("lock").push(request.clone());
                 open.fetch_add(1, Ordering::SeqCst);
                 let kept = answering(request, responder).await;
@@ -209,7 +214,7 @@
         .filter_map(|line| line.split_once(": "))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
         .collect();
-    let mut request = SeenRequest { path, headers, body: String::new() };
+    let mut request = SeenRequest { path, headers, ..SeenRequest::default() };
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -9,7 +9,7 @@
 use tokio::time::{self, Instant};
 
 use crate::support::cluster::{self, Cluster};
-use crate::support::layout::PLAIN;
+use crate::support::layout::{ClusterSettings, PLAIN};
 use crate::support::upstreams;
 use crate::support::wait;
 
@@ -18,8 +18,8 @@
 /// How long a key is asked for again after a fault.
 const REPEATED: Duration = Duration::from_secs(5);
 const PAUSE: Duration = Duration::from_millis(100);
-/// Longer than the dispatch deadline.
-const FROZEN: Duration = Duration::from_secs(3);
+/// Longer than the dispatch deadline of the test, shorter than an election.
+const FROZEN: Duration = Duration::from_millis(700);
 
 fn command(cluster: &Cluster, host: &str, key: &str) -> RequestBuilder {
     let request = cluster.request(Method::POST, host, &format!("/s/{PLAIN}{START}"));
@@ -49,7 +49,11 @@
 }
 
 async fn cluster_with_service() -> (Cluster, RunningPlain) {
-    let cluster = Cluster::start().await;
+    cluster_with(ClusterSettings::default()).await
+}
+
+async fn cluster_with(settings: ClusterSettings) -> (Cluster, RunningPlain) {
+    let cluster = Cluster::start_with(settings).await;
     let service = upstreams::plain(&cluster, "zacapa-a").await;
     for host in ["oriente-1", "oriente-2", "altiplano-2"] {
         served(&cluster, host, "start").await;
@@ -169,7 +173,9 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_host_frozen_between_reserving_and_sending_sends_nothing() {
-    let (mut cluster, service) = cluster_with_service().await;
+    let sections = "[timing]\ndispatch_deadline_ms = 300\n".to_owned();
+    let settings = ClusterSettings { sections, ..ClusterSettings::default() };
+    let (mut cluster, service) = cluster_with(settings).await;
     // The reservation leaves the host, and its verdict waits on the way back.
     for other in ["oriente-2", "altiplano-1", "altiplano-2", "costa-sur-1", "costa-sur-2"] {
         cluster.cut(other, "oriente-1");
