--- a/crates/anvillift-membership/src/lib.rs
+++ b/crates/anvillift-membership/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coarse;
 pub mod directory;
 mod known_upstream;
+pub mod links;
 pub mod members;
 mod neighbours;
 pub mod rank;
--- a/crates/anvillift-membership/src/members.rs
+++ b/crates/anvillift-membership/src/members.rs
@@ -39,6 +39,8 @@
     version: u64,
     record_repeats: u32,
     near: Vec<Name>,
+    /// The hosts of the own data centre, the own one included.
+    centre: Vec<Name>,
     far: BTreeMap<Name, Vec<Name>>,
     neighbours: Neighbours,
     upstreams: Upstreams,
@@ -71,6 +73,7 @@
             version: 1,
             record_repeats: REPEATED_BEATS,
             near: settings.near(),
+            centre: settings.centre(),
             far: settings.far(),
             neighbours: Neighbours::new(settings.silent_after_ms),
             upstreams: Upstreams::new(settings.upstream_expiry_ms),
--- a/crates/anvillift-membership/src/members/far.rs
+++ b/crates/anvillift-membership/src/members/far.rs
@@ -53,7 +53,7 @@
         let mut sent = Vec::new();
         let alive: Vec<&Name> = roster.hosts.iter().map(|host| &host.host).collect();
         for (centre, hosts) in &self.far {
-            let speakers = rank::delegates(&alive, self.centre_number(centre));
+            let speakers = rank::delegates(&self.centre, &alive, self.centre_number(centre));
             let Some(rank) = speakers.iter().position(|host| **host == self.own.host) else {
                 continue;
             };
@@ -77,12 +77,14 @@
         turn: usize,
         changed: bool,
     ) -> Vec<Name> {
+        let number = self.centre_number(&self.own.data_centre);
         let alive = self.remotes.alive(now_ms, centre);
         if alive.is_empty() {
             // Nobody is known there: try its hosts one after the other.
-            return vec![hosts[turn % hosts.len()].clone()];
+            let next = rank::in_order(hosts, number).nth(turn % hosts.len());
+            return next.cloned().into_iter().collect();
         }
-        let listeners = rank::delegates(&alive, self.centre_number(&self.own.data_centre));
+        let listeners = rank::delegates(hosts, &alive, number);
         if changed {
             return listeners.into_iter().cloned().collect();
         }
--- a/crates/anvillift-mesh/src/settings.rs
+++ b/crates/anvillift-mesh/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the links of one host.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use anvillift_schema::name::Name;
 use anvillift_schema::settings::{Identity, PeerSettings, TlsSettings};
@@ -16,6 +16,8 @@
     pub incarnation: u64,
     /// All hosts of the system by name.
     pub peers: BTreeMap<Name, PeerSettings>,
+    /// Hosts to keep a link to; none for all.
+    pub linked: Option<BTreeSet<Name>>,
     /// Secret shared by all hosts.
     pub link_key: String,
     /// TLS of the links, if any.
@@ -42,6 +44,7 @@
             identity: Identity::default(),
             incarnation: 0,
             peers: BTreeMap::new(),
+            linked: None,
             link_key: String::new(),
             tls: None,
             listen: "127.0.0.1:0".to_owned(),
