--- a/crates/anvillift-gateway/src/commands/dispatch.rs
+++ b/crates/anvillift-gateway/src/commands/dispatch.rs
@@ -6,6 +6,7 @@
 use anvillift_ledger::key;
 use anvillift_routing::decide::Decision;
 use anvillift_schema::code::Code;
+use anvillift_schema::configuration::Profile;
 use anvillift_schema::event::Event;
 use anvillift_schema::ledger::{CommandKey, CommandOutcome};
 use anvillift_schema::name::Name;
@@ -53,6 +54,8 @@
     let attempt_id = settings.attempt.clone();
     let mut attempt = Attempt::new(settings, gateway.now_ms());
     let verdict = proposal::propose(gateway, home, &attempt.reservation()).await;
+    // Without a majority the caller is told at once, and the ledger when it can be.
+    let waits = verdict.is_ok();
     let is_silent = |holder: &Name| holder::is_silent(gateway, holder);
     let mut step = attempt.reserved(gateway.now_ms(), verdict, is_silent);
     let mut whole = None;
@@ -72,7 +75,7 @@
     };
     let recording = async {
         if let Some(operation) = settle {
-            settle::record(gateway, home, operation).await;
+            settle::record(gateway, home, operation, waits).await;
         }
     };
     future::join(keeping, recording).await;
@@ -118,11 +121,16 @@
         attempt: Name::from(Uuid::now_v7().to_string()),
         holder: holder::own(gateway),
         issued_unix_ms,
-        retention_ms: request.profile.command_retention_ms,
+        retention_ms: retention_ms(&request.profile),
         dispatch_within_ms: gateway.settings.timing.dispatch_deadline_ms,
     })
 }
 
+/// A key outlives the command that holds it.
+fn retention_ms(profile: &Profile) -> u64 {
+    profile.command_retention_ms.max(profile.deadline_ms.saturating_mul(2))
+}
+
 /// A whole answer of the upstream.
 struct WholeAnswer {
     answer: Answer,
--- a/crates/anvillift-gateway/src/commands/settle.rs
+++ b/crates/anvillift-gateway/src/commands/settle.rs
@@ -22,8 +22,13 @@
 /// Records that may wait; more are dropped.
 const MAX_SETTLING: u32 = 10_000;
 
-/// Proposes until it is recorded, and waits for that for a short time.
-pub(super) async fn record(gateway: &Arc<Gateway>, home: &Name, operation: LedgerOperation) {
+/// Proposes until it is recorded; `waits` for that, but only for a short time.
+pub(super) async fn record(
+    gateway: &Arc<Gateway>,
+    home: &Name,
+    operation: LedgerOperation,
+    waits: bool,
+) {
     if gateway.commands.settling.count() >= MAX_SETTLING {
         log::warn!(event = Event::LedgerUnavailable.number(); "a record is dropped");
         return;
@@ -34,7 +39,9 @@
         let _guard = guard;
         keep_proposing(&gateway, &home, &operation).await;
     });
-    let _ = time::timeout(RECORD_LIMIT, recording).await;
+    if waits {
+        let _ = time::timeout(RECORD_LIMIT, recording).await;
+    }
 }
 
 async fn keep_proposing(gateway: &Arc<Gateway>, home: &Name, operation: &LedgerOperation) {
--- a/crates/anvillift-membership/examples/scale.rs
+++ b/crates/anvillift-membership/examples/scale.rs
@@ -43,7 +43,7 @@
     let max = |values: &[u64]| values.iter().max().copied().unwrap_or(0);
     let daemon_us = busy_us / seconds / size.hosts as u64;
     println!(
-        "{:5} {:7} {:9}  {:13} {:5}  {:17} {:5}  {:17}  {:.3}",
+        "{:5} {:7} {:9}  {:13} {:5}  {:17} {:5}  {:17}  {:6.3}  {:7}",
         size.hosts,
         size.centres,
         size.upstreams,
@@ -53,5 +53,22 @@
         max(&received),
         daemon_us,
         daemon_us as f64 / 10_000.0,
+        state_bytes(&network),
     );
 }
+
+/// Encoded size of what a host knows of the others.
+fn state_bytes(network: &Network) -> usize {
+    let view = network.view(0);
+    let mut bytes = Vec::new();
+    for host in view.hosts.values() {
+        ciborium::into_writer(&host.record, &mut bytes).expect("a record encodes");
+    }
+    for upstream in view.upstreams.values() {
+        ciborium::into_writer(&upstream.announcement, &mut bytes).expect("an upstream encodes");
+    }
+    for centre in view.data_centres.values() {
+        ciborium::into_writer(&centre.summary, &mut bytes).expect("a summary encodes");
+    }
+    bytes.len()
+}
