Give each test cluster of the gateway valid loopback addresses

Cause: the last part of the address counted every host of every cluster and passed 255 once the suite had grown, so the last nine tests could not start. Ruled out: fewer hosts in the tests. Change: 12 bits of the process and 10 of the counter make the address. Conclusion: room for 1,023 hosts a run.

--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -1,6 +1,7 @@
 //! Gateways of three regions in one process.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::process;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -158,12 +159,13 @@
     peers
 }
 
-/// A loopback address that no other test uses.
-fn own_ip() -> String {
+/// A loopback address that no other test uses: 12 bits of the process and 10 of a counter.
+fn own_ip() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = process::id();
-    format!("127.{}.{}.{}", 64 + (process >> 8) % 128, process & 0xff, number)
+    assert!(number < 1 << 10, "out of addresses");
+    let own = (process::id() & 0xfff) << 10 | number;
+    Ipv4Addr::from(u32::from(Ipv4Addr::new(127, 64, 0, 0)) + own)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
