--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -1,6 +1,7 @@
 //! Gateways of three regions in one process.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::process;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -26,8 +27,6 @@
 const RESTART_LIMIT: Duration = Duration::from_secs(20);
 const RESTART_PAUSE: Duration = Duration::from_millis(50);
 const LINK_PORT: u16 = 7101;
-/// Loopback addresses of one test process.
-const IPS: u32 = 254;
 const REGIONS: [(&str, &str); 3] =
     [("oriente", "zacapa-a"), ("costa-sur", "escuintla-a"), ("altiplano", "xela-a")];
 
@@ -152,7 +151,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: own_address(),
+                link: format!("{}:{LINK_PORT}", own_ip()),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -160,13 +159,13 @@
     peers
 }
 
-/// A loopback address that no other test uses.
-fn own_address() -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
+/// A loopback address that no other test uses: 12 bits of the process and 10 of a counter.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = process::id();
-    let (ip, port) = (1 + number % IPS, u32::from(LINK_PORT) + number / IPS);
-    format!("127.{}.{}.{ip}:{port}", 64 + (process >> 8) % 128, process & 0xff)
+    assert!(number < 1 << 10, "out of addresses");
+    let own = (process::id() & 0xfff) << 10 | number;
+    Ipv4Addr::from(u32::from(Ipv4Addr::new(127, 64, 0, 0)) + own)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
