Write what waits before a planned stop ends

Cause: the last frames of a forwarded answer could wait in the link's queue when the host saw nothing in flight and closed its links; the caller then got an error event. Ruled out: a pause before the links are closed. Change: a finishing link writes everything that waits and says goodbye; the listener stops gracefully; a forwarded request is in flight until its body is queued.

--- a/crates/anvillift-gateway/src/forward/incoming.rs
+++ b/crates/anvillift-gateway/src/forward/incoming.rs
@@ -27,6 +27,7 @@
 /// Serves a stream until its answer has ended or the other host has left.
 pub(crate) async fn serve(gateway: &Arc<Gateway>, stream: IncomingStream) {
     let IncomingStream { head, mut body, answer: sender, .. } = stream;
+    let _in_flight = gateway.in_flight.enter();
     let id = head.request_id.clone();
     let answer = tokio::select! {
         answer = run(gateway, head, &mut body) => answer,
@@ -43,7 +44,6 @@
     head: ForwardHead,
     body: &mut BodyReceiver,
 ) -> Result<Answer, Refusal> {
-    let in_flight = gateway.in_flight.enter();
     gateway.check_open()?;
     let mut request = read_head(gateway, head)?;
     let timeout = Duration::from_millis(gateway.settings.limits.body_timeout_ms);
@@ -61,7 +61,7 @@
     } else {
         forward::serve(gateway, request).await
     };
-    Ok(answer.holding((in_flight, admitted)))
+    Ok(answer.holding(admitted))
 }
 
 fn read_head(gateway: &Gateway, head: ForwardHead) -> Result<Request, Refusal> {
--- a/crates/anvillift-gateway/src/running.rs
+++ b/crates/anvillift-gateway/src/running.rs
@@ -17,6 +17,9 @@
 use crate::gateway::Gateway;
 use crate::membership;
 
+/// Time for the last bytes of finished answers to be written.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// A gateway that listens; stopped by [`Self::drain`] or [`Self::stop`].
 pub struct RunningGateway {
     /// Address for callers, upstreams and operators.
@@ -25,6 +28,7 @@
     pub link_addr: SocketAddr,
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) server: ServerHandle,
+    pub(crate) serving: JoinHandle<()>,
     pub(crate) tasks: Vec<JoinHandle<()>>,
 }
 
@@ -40,7 +44,7 @@
     }
 
     /// Stops as planned: announces it, refuses new requests, and finishes those in flight.
-    pub async fn drain(self) {
+    pub async fn drain(mut self) {
         let gateway = self.gateway.clone();
         log::info!(event = Event::HostDraining.number(); "draining");
         gateway.draining.store(true, Ordering::Release);
@@ -53,6 +57,9 @@
         }
         commands::stop(&gateway).await;
         control::stop(&gateway).await;
+        self.server.stop_graceful(FLUSH_LIMIT);
+        gateway.mesh().finish(FLUSH_LIMIT).await;
+        let _ = time::timeout(FLUSH_LIMIT, &mut self.serving).await;
         log::info!(event = Event::HostStopped.number(); "stopped");
         self.stop();
     }
@@ -61,6 +68,7 @@
     pub fn stop(self) {
         self.server.stop_forceful();
         self.gateway.mesh().stop();
+        self.serving.abort();
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -73,8 +73,8 @@
             }
         });
         log::info!(event = Event::HostStarted.number(); "listening on {caller_addr}");
-        let tasks = vec![membership, serving];
-        Ok(RunningGateway { caller_addr, link_addr, gateway, server: handle, tasks })
+        let tasks = vec![membership];
+        Ok(RunningGateway { caller_addr, link_addr, gateway, server: handle, serving, tasks })
     }
 }
 
--- a/crates/anvillift-mesh/src/link.rs
+++ b/crates/anvillift-mesh/src/link.rs
@@ -151,6 +151,7 @@
         loop {
             let result = match self.queue.pop() {
                 Some(frame) => sink.feed(Message::Binary(codec::encode(&frame))).await,
+                None if self.queue.is_finishing() => return self.say_goodbye(sink).await,
                 None => match sink.flush().await {
                     Ok(()) => tokio::select! {
                         () = self.queue.pushed() => continue,
@@ -165,6 +166,12 @@
         }
     }
 
+    async fn say_goodbye(&self, mut sink: SplitSink<Socket, Message>) -> LinkError {
+        let goodbye = LinkFrame::Goodbye { host: self.settings.identity.name.clone() };
+        let sent = sink.send(Message::Binary(codec::encode(&goodbye))).await;
+        sent.context(WebSocketSnafu).err().unwrap_or(LinkError::Closed)
+    }
+
     async fn read(
         self: &Arc<Self>,
         mut stream: SplitStream<Socket>,
--- a/crates/anvillift-mesh/src/mesh.rs
+++ b/crates/anvillift-mesh/src/mesh.rs
@@ -13,6 +13,7 @@
 };
 use anvillift_schema::name::Name;
 use bytes::Bytes;
+use futures_util::future;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -128,6 +129,19 @@
         }
     }
 
+    /// Stops listening, writes what waits and closes every link.
+    pub async fn finish(&self, limit: Duration) {
+        self.shared.stopped.cancel();
+        let links: Vec<Arc<Link>> =
+            self.shared.links.lock().expect("lock").values().cloned().collect();
+        let finished = links.iter().map(|link| {
+            link.queue.finish();
+            link.closed.cancelled()
+        });
+        let _ = time::timeout(limit, future::join_all(finished)).await;
+        self.stop();
+    }
+
     /// Closes every link and stops listening.
     pub fn stop(&self) {
         self.shared.stopped.cancel();
--- a/crates/anvillift-mesh/src/write_queue.rs
+++ b/crates/anvillift-mesh/src/write_queue.rs
@@ -61,6 +61,7 @@
 #[derive(Default)]
 struct Waiting {
     closed: bool,
+    finishing: bool,
     messages: VecDeque<LinkFrame>,
     control: Lane,
     quick: Lane,
@@ -155,6 +156,17 @@
         self.pushed.notified().await;
     }
 
+    /// Ends the link once everything that waits is written.
+    pub(crate) fn finish(&self) {
+        self.waiting.lock().expect("lock").finishing = true;
+        self.pushed.notify_one();
+    }
+
+    /// Whether the link ends when nothing waits.
+    pub(crate) fn is_finishing(&self) -> bool {
+        self.waiting.lock().expect("lock").finishing
+    }
+
     /// Drops everything and takes nothing more.
     pub(crate) fn close(&self) {
         let closed = Waiting { closed: true, ..Waiting::default() };
