Speak TLS on links and towards callers

Cause: keys and data crossed links and came from callers in the clear. Ruled out: skipping the check of the files until the first connection, which shows an expired certificate to callers instead of to operators. Change: rustls with the ring provider; links check certificates both ways against the authority file; files are checked at start, and a missing, unfit or expired one keeps the host from starting with code 1803 and the name of the file. Conclusion: TLS stands; certificates are not reloaded while a host runs.

--- /dev/null
+++ b/crates/anvillift-gateway/src/caller_tls.rs
@@ -0,0 +1,54 @@
+//! TLS towards callers.
+
+use std::fs;
+use std::io;
+
+use anvillift_mesh::tls;
+use anvillift_schema::settings::TlsSettings;
+use salvo::conn::Listener;
+use salvo::conn::rustls::{Keycert, RustlsAcceptor, RustlsConfig, RustlsListener};
+use salvo::conn::tcp::TcpAcceptor;
+use snafu::ResultExt;
+
+use crate::error::{ListenSnafu, StartError};
+
+const HTTP_1_1: &[u8] = b"http/1.1";
+
+/// A listener that is bound already.
+struct Bound(TcpAcceptor);
+
+impl Listener for Bound {
+    type Acceptor = TcpAcceptor;
+
+    async fn try_bind(self) -> salvo::Result<TcpAcceptor> {
+        Ok(self.0)
+    }
+}
+
+/// Puts TLS over a bound listener, with files that were checked.
+pub(crate) async fn accept(
+    acceptor: TcpAcceptor,
+    settings: &TlsSettings,
+    address: &str,
+) -> Result<RustlsAcceptor<TcpAcceptor>, StartError> {
+    tls::load(settings).map_err(key_file)?;
+    let keycert = Keycert::new()
+        .cert(read(&settings.certificate_file, address)?)
+        .key(read(&settings.key_file, address)?);
+    let config = RustlsConfig::new(keycert).alpn_protocols(vec![HTTP_1_1.to_vec()]);
+    let listener = RustlsListener::new(config, Bound(acceptor));
+    listener.try_bind().await.map_err(io::Error::other).context(ListenSnafu { address })
+}
+
+fn key_file(source: anvillift_mesh::StartError) -> StartError {
+    match source {
+        anvillift_mesh::StartError::KeyFile { path, reason } => {
+            StartError::KeyFile { path, reason }
+        }
+        source => StartError::Mesh { source },
+    }
+}
+
+fn read(path: &str, address: &str) -> Result<Vec<u8>, StartError> {
+    fs::read(path).context(ListenSnafu { address })
+}
--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod answer;
+mod caller_tls;
 pub mod callers;
 mod client;
 mod clock;
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -13,13 +13,17 @@
 use anvillift_schema::settings::HostSettings;
 use arc_swap::ArcSwap;
 use salvo::Server;
+use salvo::conn::Acceptor;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
+use salvo::server::ServerHandle;
 use snafu::ResultExt;
 use socket2::SockRef;
 use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 
 use crate::admission::AdmissionState;
+use crate::caller_tls;
 use crate::client::Clients;
 use crate::clock::Clock;
 use crate::commands::{self, Commands};
@@ -48,7 +52,7 @@
         let listener = bind(&address).await.context(ListenSnafu { address: address.clone() })?;
         let caller_addr = listener.local_addr().context(ListenSnafu { address })?;
         let caller_url = match settings.listen.caller_url.as_str() {
-            "" => format!("http://{caller_addr}"),
+            "" => format!("{}://{caller_addr}", scheme(&settings)),
             url => url.to_owned(),
         };
         let gateway = Arc::new(build(settings, caller_url)?);
@@ -64,14 +68,14 @@
         let membership = tokio::spawn(membership::run(gateway.clone()));
         let acceptor = TcpAcceptor::try_from(listener)
             .context(ListenSnafu { address: caller_addr.to_string() })?;
-        let server = server(&gateway, acceptor);
-        let handle = server.handle();
-        let service = listener::service(&gateway);
-        let serving = tokio::spawn(async move {
-            if let Err(error) = server.try_serve(service).await {
-                log::error!("the listener failed: {error}");
+        let tls = gateway.settings.tls.clone().filter(|tls| tls.callers);
+        let (handle, serving) = match tls {
+            None => serve(&gateway, acceptor),
+            Some(tls) => {
+                let address = caller_addr.to_string();
+                serve(&gateway, caller_tls::accept(acceptor, &tls, &address).await?)
             }
-        });
+        };
         log::info!(event = Event::HostStarted.number(); "listening on {caller_addr}");
         let tasks = vec![membership];
         Ok(RunningGateway { caller_addr, link_addr, gateway, server: handle, serving, tasks })
@@ -86,6 +90,11 @@
     Ok(listener)
 }
 
+fn scheme(settings: &HostSettings) -> &'static str {
+    let with_tls = settings.tls.as_ref().is_some_and(|tls| tls.callers);
+    if with_tls { "https" } else { "http" }
+}
+
 fn build(settings: HostSettings, caller_url: String) -> Result<Gateway, StartError> {
     let incarnation = unix_ms();
     let control = Control::open(&settings).context(StorageSnafu)?;
@@ -143,7 +152,10 @@
     log::info!(event = Event::HostReady.number(); "ready");
 }
 
-fn server(gateway: &Gateway, acceptor: TcpAcceptor) -> Server<TcpAcceptor> {
+fn serve<A: Acceptor + Send + 'static>(
+    gateway: &Arc<Gateway>,
+    acceptor: A,
+) -> (ServerHandle, JoinHandle<()>) {
     let limits = &gateway.settings.limits;
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(Duration::from_millis(limits.header_timeout_ms));
@@ -151,7 +163,14 @@
     // Heads above the limit but below the buffer get an answer with a number.
     let buffer_bytes = (HEADS_PER_BUFFER * limits.max_header_bytes).max(MIN_BUFFER_BYTES);
     server.http1_mut().max_buf_size(buffer_bytes as usize);
-    server
+    let handle = server.handle();
+    let service = listener::service(gateway);
+    let serving = tokio::spawn(async move {
+        if let Err(error) = server.try_serve(service).await {
+            log::error!("the listener failed: {error}");
+        }
+    });
+    (handle, serving)
 }
 
 fn unix_ms() -> u64 {
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod bad_requests;
 mod broken_streams;
+mod caller_tls;
 mod cluster;
 mod control;
 mod control_cluster;
--- a/crates/anvillift-mesh/src/dial.rs
+++ b/crates/anvillift-mesh/src/dial.rs
@@ -12,7 +12,8 @@
 use crate::error::{ConnectSnafu, LinkError, WebSocketSnafu};
 use crate::handshake::{self, Role};
 use crate::settings::MeshSettings;
-use crate::transport::{self, Connection, Socket};
+use crate::tls::LinkTls;
+use crate::transport::{self, Socket};
 use anvillift_schema::name::Name;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -20,12 +21,13 @@
 /// Dials a host and proves both sides.
 pub(crate) async fn dial(
     settings: &MeshSettings,
+    tls: &LinkTls,
     address: &str,
 ) -> Result<(Name, Socket), LinkError> {
     within(async {
         let tcp = TcpStream::connect(address).await.context(ConnectSnafu)?;
         transport::configure(&tcp).context(ConnectSnafu)?;
-        let connection: Box<dyn Connection> = Box::new(tcp);
+        let connection = tls.connect(tcp).await?;
         let request = format!("ws://{address}/link");
         let config = Some(transport::web_socket_config());
         let (mut socket, _) =
@@ -41,11 +43,12 @@
 /// Takes a connection and proves both sides.
 pub(crate) async fn accept(
     settings: &MeshSettings,
+    tls: &LinkTls,
     tcp: TcpStream,
 ) -> Result<(Name, Socket), LinkError> {
     within(async {
         transport::configure(&tcp).context(ConnectSnafu)?;
-        let connection: Box<dyn Connection> = Box::new(tcp);
+        let connection = tls.accept(tcp).await?;
         let config = Some(transport::web_socket_config());
         let mut socket = tokio_tungstenite::accept_async_with_config(connection, config)
             .await
--- a/crates/anvillift-mesh/src/lib.rs
+++ b/crates/anvillift-mesh/src/lib.rs
@@ -16,6 +16,7 @@
 mod settings;
 pub mod stream;
 mod stream_state;
+pub mod tls;
 mod transport;
 mod write_queue;
 
--- a/crates/anvillift-mesh/src/mesh.rs
+++ b/crates/anvillift-mesh/src/mesh.rs
@@ -27,6 +27,7 @@
 use crate::link::Link;
 use crate::settings::MeshSettings;
 use crate::stream::ForwardedAnswer;
+use crate::tls::LinkTls;
 use crate::transport::Socket;
 
 /// Connections that may be in their handshake at a time.
@@ -41,6 +42,7 @@
 
 struct Shared {
     settings: Arc<MeshSettings>,
+    tls: LinkTls,
     inbox: MeshInbox,
     links: Mutex<BTreeMap<Name, Arc<Link>>>,
     stopped: CancellationToken,
@@ -50,6 +52,7 @@
 impl Mesh {
     /// Listens, and dials the hosts whose names are greater than the own.
     pub async fn start(settings: MeshSettings, inbox: MeshInbox) -> Result<Self, StartError> {
+        let tls = LinkTls::new(settings.tls.as_ref())?;
         let listener = TcpListener::bind(&settings.listen)
             .await
             .context(ListenSnafu { address: settings.listen.clone() })?;
@@ -57,6 +60,7 @@
             listener.local_addr().context(ListenSnafu { address: settings.listen.clone() })?;
         let shared = Arc::new(Shared {
             settings: Arc::new(settings),
+            tls,
             inbox,
             links: Mutex::default(),
             stopped: CancellationToken::new(),
@@ -169,7 +173,7 @@
                 Ok((tcp, _)) => {
                     let shared = self.clone();
                     tokio::spawn(async move {
-                        let proven = dial::accept(&shared.settings, tcp).await;
+                        let proven = dial::accept(&shared.settings, &shared.tls, tcp).await;
                         drop(permit);
                         shared.take_dialler(proven).await;
                     });
@@ -200,7 +204,7 @@
     async fn keep_dialling(self: Arc<Self>, peer: Name, address: String) {
         let mut back_off = BackOff::new(self.settings.clone());
         while !self.stopped.is_cancelled() {
-            match dial::dial(&self.settings, &address).await {
+            match dial::dial(&self.settings, &self.tls, &address).await {
                 Ok((name, socket)) if name == peer => {
                     back_off.reset();
                     self.run(name, Role::Dialler, socket).await;
--- a/crates/anvillift-mesh/tests/testsuite/main.rs
+++ b/crates/anvillift-mesh/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of links over real sockets.
 
 mod calls;
+mod certificates;
 mod classes;
 mod credits;
 mod pair;
