--- a/crates/anvillift-bench/src/lib.rs
+++ b/crates/anvillift-bench/src/lib.rs
@@ -5,10 +5,13 @@
 //! entry hosts. Start at [`engine::start`] and [`plain::start`].
 
 pub mod announce;
+pub mod compare;
+pub mod data_path;
 pub mod engine;
 pub mod error;
 pub mod fleet;
 pub mod listener;
 pub mod load;
 pub mod plain;
+pub mod slopes;
 pub mod trial;
--- a/crates/anvillift-daemon/src/main.rs
+++ b/crates/anvillift-daemon/src/main.rs
@@ -40,6 +40,9 @@
         Ok(terminate) => terminate,
         Err(error) => return fail(Code::Internal, &error),
     };
+    if let Err(error) = anvillift_gateway::install_metrics() {
+        return fail(Code::Internal, &error);
+    }
     let running = match Gateway::start(settings).await {
         Ok(running) => running,
         Err(error) => return fail(error.code(), &error),
--- a/crates/anvillift-gateway/src/callers/ask.rs
+++ b/crates/anvillift-gateway/src/callers/ask.rs
@@ -11,7 +11,9 @@
 use super::{chat, hops, read_body};
 use crate::admission;
 use crate::answer::Answer;
+use crate::burn::Watch;
 use crate::commands;
+use crate::exporter;
 use crate::forward::{self, event_stream};
 use crate::gateway::Gateway;
 use crate::headers;
@@ -35,10 +37,12 @@
 /// Answers a request.
 pub(crate) async fn answer(gateway: &Arc<Gateway>, question: Question) -> Answer {
     let id = Name::from(Uuid::now_v7().to_string());
+    let service = question.service.clone();
     let mut answer = match run(gateway, &id, question).await {
         Ok(answer) => answer,
         Err(refusal) => refusal.answer(Some(&id)),
     };
+    exporter::count_request(gateway, &service, &answer);
     answer.set_header(headers::REQUEST_ID, &id);
     answer
 }
@@ -57,7 +61,15 @@
             .map_err(|error| Refusal::with_detail(Code::MalformedRequest, error.to_string()))?;
         request.chat = Some(facts);
     }
-    let admitted = admission::admit(gateway, &request.facts(gateway.now_ms())).await?;
+    let answer = serve(gateway, request).await?;
+    Ok(answer.holding(in_flight))
+}
+
+/// Serves a request whose body has been read.
+async fn serve(gateway: &Arc<Gateway>, request: Request) -> Result<Answer, Refusal> {
+    let watch = Watch::start(gateway, &request.profile);
+    let admitted = admission::admit(gateway, &request.facts(gateway.now_ms())).await;
+    let admitted = admitted.inspect_err(|refusal| watch.refused(refusal))?;
     let (id, deadline_ms) = (request.id.clone(), request.deadline_ms);
     let answer = if request.is_command() {
         commands::run(gateway, request).await
@@ -65,8 +77,8 @@
         forward::serve(gateway, request).await
     };
     let deadline = gateway.clock.instant(deadline_ms);
-    let answer = event_stream::end_with_error_event(answer, id, deadline);
-    Ok(answer.holding((in_flight, admitted)))
+    let answer = event_stream::end_with_error_event(watch.over(answer), id, deadline);
+    Ok(answer.holding(admitted))
 }
 
 /// Checks a head and makes a request of it, its body still empty.
--- a/crates/anvillift-gateway/src/lib.rs
+++ b/crates/anvillift-gateway/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod admission;
 mod answer;
+mod bind;
+mod burn;
 mod caller_tls;
 pub mod callers;
 mod client;
@@ -16,6 +18,7 @@
 mod commands;
 mod control;
 mod error;
+mod exporter;
 pub mod forward;
 pub mod gateway;
 mod headers;
@@ -34,5 +37,6 @@
 mod upstreams;
 
 pub use error::StartError;
+pub use exporter::install_metrics;
 pub use gateway::Gateway;
 pub use running::RunningGateway;
--- a/crates/anvillift-gateway/src/listener.rs
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -11,6 +11,7 @@
 use crate::callers::ask::{self, Question};
 use crate::callers::{directory, report};
 use crate::control;
+use crate::exporter;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::operators;
@@ -35,6 +36,7 @@
     OperatorHosts,
     OperatorUpstreams,
     OperatorConfiguration,
+    OperatorBurn,
     OperatorChanges,
     OperatorChange,
     OperatorOrders,
@@ -53,6 +55,7 @@
     let operator = Router::with_path("v1/operator")
         .push(Router::with_path("hosts").get(at(Endpoint::OperatorHosts)))
         .push(Router::with_path("upstreams").get(at(Endpoint::OperatorUpstreams)))
+        .push(Router::with_path("burn").get(at(Endpoint::OperatorBurn)))
         .push(Router::with_path("configuration").get(at(Endpoint::OperatorConfiguration)))
         .push(Router::with_path("changes/{id}").get(at(Endpoint::OperatorChange)))
         .push(Router::with_path("changes").post(at(Endpoint::OperatorChanges)))
@@ -100,7 +103,7 @@
                 directory::hosts(gateway, request.headers(), request.query("service"))
             }
             Endpoint::Health => Ok(report::health(gateway)),
-            Endpoint::Metrics => Ok(report::metrics(gateway)),
+            Endpoint::Metrics => Ok(exporter::page(gateway)),
             Endpoint::Announce => {
                 upstreams::check_key(gateway, request.headers())?;
                 let body = read(gateway, request, upstreams::MAX_ANNOUNCEMENT_BYTES).await?;
@@ -120,6 +123,7 @@
     ) -> Result<Answer, Refusal> {
         let gateway = &self.gateway;
         match endpoint {
+            Endpoint::OperatorBurn => Ok(operators::burn(gateway)),
             Endpoint::OperatorHosts => Ok(operators::hosts(gateway)),
             Endpoint::OperatorUpstreams => Ok(operators::upstreams(gateway)),
             Endpoint::OperatorControl => control::control_status(gateway),
--- a/crates/anvillift-gateway/src/start.rs
+++ b/crates/anvillift-gateway/src/start.rs
@@ -1,16 +1,17 @@
 //! Starting a gateway.
 
-use std::io;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use anvillift_membership::links::{self, GroupHosts};
 use anvillift_membership::members::{Members, MembersSettings};
 use anvillift_mesh::{Mesh, MeshSettings};
 use anvillift_routing::router::{Router, RouterSettings};
 use anvillift_schema::event::Event;
 use anvillift_schema::membership::HostState;
-use anvillift_schema::settings::HostSettings;
+use anvillift_schema::settings::{GroupSettings, HostSettings};
+use anvillift_telemetry::BurnRecorder;
 use arc_swap::ArcSwap;
 use salvo::Server;
 use salvo::conn::Acceptor;
@@ -18,11 +19,10 @@
 use salvo::fuse::FuseConfig;
 use salvo::server::ServerHandle;
 use snafu::ResultExt;
-use socket2::SockRef;
-use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
 use crate::admission::AdmissionState;
+use crate::bind;
 use crate::caller_tls;
 use crate::client::Clients;
 use crate::clock::Clock;
@@ -38,8 +38,6 @@
 use crate::running::RunningGateway;
 use crate::snapshot::Snapshot;
 
-/// Bytes of an answer that may wait unsent in the kernel.
-const UNSENT_BYTES: u32 = 16 * 1024;
 /// Largest heads that fit into the buffer of a connection.
 const HEADS_PER_BUFFER: u64 = 2;
 /// Least that the HTTP library takes as the bound of its buffers, in bytes.
@@ -49,7 +47,7 @@
     /// Starts a gateway on the addresses of its settings.
     pub async fn start(settings: HostSettings) -> Result<RunningGateway, StartError> {
         let address = settings.listen.callers.clone();
-        let listener = bind(&address).await.context(ListenSnafu { address: address.clone() })?;
+        let listener = bind::bind(&address).context(ListenSnafu { address: address.clone() })?;
         let caller_addr = listener.local_addr().context(ListenSnafu { address })?;
         let caller_url = match settings.listen.caller_url.as_str() {
             "" => format!("{}://{caller_addr}", scheme(&settings)),
@@ -82,14 +80,6 @@
     }
 }
 
-/// Listens, with little room in the kernel for what slow readers do not take.
-/// Accepted connections inherit the option.
-async fn bind(address: &str) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(address).await?;
-    SockRef::from(&listener).set_tcp_notsent_lowat(UNSENT_BYTES)?;
-    Ok(listener)
-}
-
 fn scheme(settings: &HostSettings) -> &'static str {
     let with_tls = settings.tls.as_ref().is_some_and(|tls| tls.callers);
     if with_tls { "https" } else { "http" }
@@ -123,6 +113,7 @@
         clients: Clients::new()?,
         in_flight: InFlight::new(),
         admission: AdmissionState::new(&settings.host.name, &settings.limits),
+        burn: BurnRecorder::default(),
         control,
         commands: Commands::default(),
         draining: AtomicBool::new(false),
@@ -137,6 +128,7 @@
         identity: settings.host.clone(),
         incarnation: unix_ms(),
         peers: settings.peers.clone(),
+        linked: Some(links::links(&settings.host.name, &settings.peers, &group_hosts(settings))),
         link_key: settings.keys.link_key.clone(),
         tls: settings.tls.clone().filter(|tls| tls.links),
         listen: settings.listen.links.clone(),
@@ -145,6 +137,14 @@
     }
 }
 
+fn group_hosts(settings: &HostSettings) -> GroupHosts {
+    let voters = |group: &GroupSettings| group.voters.iter().cloned().collect();
+    GroupHosts {
+        control: voters(&settings.control),
+        ledgers: settings.ledgers.values().map(voters).collect(),
+    }
+}
+
 /// Marks the host ready to take requests.
 pub(crate) fn set_ready(gateway: &Arc<Gateway>) {
     gateway.ready.store(true, std::sync::atomic::Ordering::Release);
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod broken_streams;
 mod caller_tls;
 mod cluster;
+mod commands;
 mod control;
 mod control_cluster;
 mod control_loss;
