Refresh the router's views one at a time

Cause: two refreshes at once could give the router an older time after a newer one; the subtraction overflowed, the router's lock was poisoned and every later request failed. Seen in broken_streams::a_link_that_breaks_in_a_stream_ends_it_in_an_error_event under load; test addresses ran out at 254. Ruled out: catching the panic, which leaves the order of views wrong. Change: a refresh holds the router from the moment its time is taken; the router's ages saturate; test addresses use more ports. Conclusion: announcements and ticks may come at once.

--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -49,6 +49,8 @@
 
 /// Takes a newer view and gives it to the router.
 pub(crate) fn refresh(gateway: &Arc<Gateway>) {
+    // Held from the start, so that an older view never follows a newer one.
+    let mut router = gateway.router.lock().expect("lock");
     let now_ms = gateway.now_ms();
     let (view, cache_events) = {
         let mut members = gateway.members.lock().expect("lock");
@@ -56,7 +58,6 @@
     };
     let configuration = gateway.configuration.load_full();
     let reachable = reachable_data_centres(gateway, &view);
-    let mut router = gateway.router.lock().expect("lock");
     for heard in &cache_events {
         let events = std::slice::from_ref(&heard.event);
         router.cache_events(now_ms, &heard.upstream, heard.incarnation, events);
@@ -70,7 +71,6 @@
             );
         }
     }
-    drop(router);
     gateway.snapshot.store(Arc::new(Snapshot { view, taken_ms: now_ms }));
 }
 
--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -150,7 +150,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: format!("{}:{LINK_PORT}", own_ip()),
+                link: own_address(),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -159,11 +159,12 @@
 }
 
 /// A loopback address that no other test uses.
-fn own_ip() -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
+pub(crate) fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = process::id();
-    format!("127.{}.{}.{}", 64 + (process >> 8) % 128, process & 0xff, number)
+    let (ip, port) = (1 + number % 250, u32::from(LINK_PORT) + number / 250);
+    format!("127.{}.{}.{ip}:{port}", 64 + (process >> 8) % 128, process & 0xff)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway, with real sockets and fake upstreams.
 
 mod admission;
+mod announcements;
 mod bad_requests;
 mod broken_streams;
 mod caller_tls;
--- a/crates/anvillift-routing/src/router.rs
+++ b/crates/anvillift-routing/src/router.rs
@@ -94,7 +94,7 @@
             place.sent.reported(now_ms.saturating_sub(room.load_age_ms));
             room.sent_tokens += place.sent.total();
             room.own_in_flight = place.in_flight;
-            room.known_ms = room.known_ms.max(now_ms - place.first_seen_ms);
+            room.known_ms = room.known_ms.max(now_ms.saturating_sub(place.first_seen_ms));
         }
         for room in &mut view.data_centres {
             let place = state.places.entry(room.data_centre.clone()).or_default();
@@ -103,7 +103,8 @@
             room.sent_tokens += place.sent.total();
         }
         let spilled_ms = state.spilled_ms;
-        view.spilling = spilled_ms.is_some_and(|spilled| now_ms - spilled <= SPILLING_MS);
+        view.spilling =
+            spilled_ms.is_some_and(|spilled| now_ms.saturating_sub(spilled) <= SPILLING_MS);
         state.places.retain(|_, place| place.last_seen_ms == now_ms || place.in_flight > 0);
         state.view = view;
     }
