--- a/crates/anvillift-gateway/src/callers/report.rs
+++ b/crates/anvillift-gateway/src/callers/report.rs
@@ -1,6 +1,4 @@
-//! Readiness and metrics.
-
-use anvillift_schema::code::Code;
+//! Readiness.
 
 use crate::answer::{self, Answer};
 use crate::gateway::Gateway;
@@ -12,8 +10,3 @@
         Err(refusal) => refusal.answer(None),
     }
 }
-
-/// The metrics in the text form of Prometheus.
-pub(crate) fn metrics(_gateway: &Gateway) -> Answer {
-    crate::problem::Refusal::from(Code::NotFound).answer(None)
-}
--- a/crates/anvillift-gateway/src/forward/mod.rs
+++ b/crates/anvillift-gateway/src/forward/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::admission;
 use crate::answer::Answer;
+use crate::exporter;
 use crate::gateway::Gateway;
 use crate::problem::Refusal;
 use crate::request::Request;
@@ -50,6 +51,7 @@
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
+        exporter::count_failed_attempt(failure.code);
         log::debug!("attempt of {} at {place} failed: {failure}", request.id);
         tried.push(place);
         if !admission::may_retry(gateway, request, &failure, tried.len() as u32) {
--- a/crates/anvillift-gateway/src/listener.rs
+++ b/crates/anvillift-gateway/src/listener.rs
@@ -11,6 +11,7 @@
 use crate::callers::ask::{self, Question};
 use crate::callers::{directory, report};
 use crate::control;
+use crate::exporter;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::operators;
@@ -102,7 +103,7 @@
                 directory::hosts(gateway, request.headers(), request.query("service"))
             }
             Endpoint::Health => Ok(report::health(gateway)),
-            Endpoint::Metrics => Ok(report::metrics(gateway)),
+            Endpoint::Metrics => Ok(exporter::page(gateway)),
             Endpoint::Announce => {
                 upstreams::check_key(gateway, request.headers())?;
                 let body = read(gateway, request, upstreams::MAX_ANNOUNCEMENT_BYTES).await?;
