Keep the other runs of a comparison when one cannot start

Cause: a run of 20 lost all its figures as `cannot listen for callers on 127.0.0.1:41833`: the port had been drawn as free and then given to an outgoing connection. Ruled out: holding the ports until the hosts listen, which they could not. Before: `compare examples/zacapa-load.ini` ended at run 19 of 20 with nothing.

--- a/crates/anvillift-bench/src/cmd/compare.rs
+++ b/crates/anvillift-bench/src/cmd/compare.rs
@@ -42,7 +42,7 @@
             skip_faults: self.skip_faults,
             skip_policies: self.skip_policies,
         })
-        .await?;
+        .await;
         super::print_line(&report::text(&comparison));
         fs::create_dir_all(&self.out).context(WriteSnafu { path: shown(&self.out) })?;
         let name = comparison.experiment.name.as_str();
--- a/crates/anvillift-bench/src/compare/mod.rs
+++ b/crates/anvillift-bench/src/compare/mod.rs
@@ -19,7 +19,6 @@
 use self::faults::FaultRuns;
 use self::measures::{Measure, Spread};
 use self::progress::Progress;
-use crate::error::BenchError;
 use crate::load::experiment::Experiment;
 use crate::load::tally::Times;
 use crate::trial::outcome::Outcome;
@@ -44,7 +43,9 @@
     /// Outcomes by policy, in order of the seeds.
     pub outcomes: BTreeMap<String, Vec<Outcome>>,
     /// Runs with faults, of our own policy.
-    pub faults: Option<FaultRuns>,
+    pub faults: FaultRuns,
+    /// Runs that could not be carried out, with the cause.
+    pub errors: Vec<String>,
     /// How long it all took.
     pub took_s: u64,
 }
@@ -69,33 +70,38 @@
 }
 
 /// Runs every policy on every seed, then the runs with faults.
-pub async fn run(settings: CompareSettings) -> Result<Comparison, BenchError> {
+///
+/// A run that cannot be carried out is noted, and the others go on.
+pub async fn run(settings: CompareSettings) -> Comparison {
     let experiment = &settings.experiment;
     let policies = if settings.skip_policies { &[][..] } else { &Policy::ALL };
     let runs = policies.len() * experiment.seeds.len();
     let fault_runs = if settings.skip_faults { 0 } else { faults::RUNS };
     let mut progress = Progress::new(runs + fault_runs);
+    let mut errors = Vec::new();
     let mut outcomes: BTreeMap<String, Vec<Outcome>> = BTreeMap::new();
     for (turn, seed) in experiment.seeds.iter().enumerate() {
         // Each seed begins with another policy, so that none always runs first.
         for position in 0..policies.len() {
             let policy = policies[(position + turn) % policies.len()];
             progress.next(&format!("{policy}, seed {seed}"));
-            let outcome = trial::run(TrialSettings {
+            let trial = trial::run(TrialSettings {
                 experiment: experiment.clone(),
                 policy,
                 seed: *seed,
                 ..TrialSettings::default()
-            })
-            .await?;
-            outcomes.entry(policy.to_string()).or_default().push(outcome);
+            });
+            match trial.await {
+                Ok(outcome) => outcomes.entry(policy.to_string()).or_default().push(outcome),
+                Err(error) => errors.push(format!("{policy}, seed {seed}: {error}")),
+            }
         }
     }
     let faults = if settings.skip_faults {
-        None
+        FaultRuns::default()
     } else {
-        Some(faults::run(experiment, &mut progress).await?)
+        faults::run(experiment, &mut progress, &mut errors).await
     };
     let took_s = progress.finish();
-    Ok(Comparison { experiment: settings.experiment, outcomes, faults, took_s })
+    Comparison { experiment: settings.experiment, outcomes, faults, errors, took_s }
 }
--- a/crates/anvillift-bench/src/compare/report.rs
+++ b/crates/anvillift-bench/src/compare/report.rs
@@ -33,6 +33,9 @@
     for verdict in targets::judge(comparison) {
         let _ = writeln!(text, "{}: {} ({})", word(&verdict), verdict.target, verdict.measured);
     }
+    for error in &comparison.errors {
+        let _ = writeln!(text, "not run: {error}");
+    }
     text
 }
 
@@ -87,6 +90,7 @@
         "seeds": comparison.experiment.seeds,
         "took_s": comparison.took_s,
         "policies": policies,
+        "errors": comparison.errors,
         "targets": targets::judge(comparison),
     })
 }
