Soak the whole system under seeded faults and check its histories

Cause: Failures come together and twice; no test brought that about.

Ruled out: A simulated network: the daemons are real, and a fault is a signal, a cut relay or an emptied folder. A history with one state: an operation of unknown outcome may take effect late or never, so the state of the specification is the set of states that are possible.

--- a/src/cmd/control.rs
+++ b/src/cmd/control.rs
@@ -72,11 +72,12 @@
 
 impl Replace {
     async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
-        let old = Some(self.old_voter(client).await?);
-        let replacement = ReplicaReplacement { old, new: self.new_voter(client).await? };
-        let new = replacement.new.clone();
-        let _: Value = client.post("/v1/operator/control/replace", &replacement).await?;
-        output::print_note(format_args!("{} learns the log", self.host));
+        let (old, new) = (self.old_voter(client).await?, self.new_voter(client).await?);
+        if old != new {
+            let replacement = ReplicaReplacement { old: Some(old), new: new.clone() };
+            let _: Value = client.post("/v1/operator/control/replace", &replacement).await?;
+            output::print_note(format_args!("{} learns the log", self.host));
+        }
         let voters = self.voting(client, &new).await?;
         output::print(format, &voters, table(&voters))
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod restart;
 mod settings;
+mod soak;
 mod streaming;
 mod support;
 mod tables;
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,63 @@
+//! Runs the whole system under a seeded schedule of faults.
+//!
+//! The schedule and the checks are those of the test module `soak`; this task
+//! builds the daemon and runs that test for as long as it is told to.
+
+use std::process::{Command, ExitStatus};
+
+use snafu::{ResultExt, ensure};
+
+const SECONDS_PER_MINUTE: u64 = 60;
+/// Test that reads the length and the seed from its environment.
+const TEST: &str = "soak::faults_break_no_promise";
+
+/// Run callers and operators under faults, and check what they saw.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub(crate) struct Soak {
+    /// length of the run, in minutes
+    #[argh(option, default = "5")]
+    minutes: u64,
+    /// seed of the schedule
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Why a soak failed.
+#[derive(Debug, snafu::Snafu)]
+pub(crate) enum Error {
+    /// Cargo could not be run.
+    #[snafu(display("cargo could not be run: {source}"))]
+    Cargo { source: std::io::Error },
+    /// The daemon could not be built.
+    #[snafu(display("the daemon could not be built: {status}"))]
+    Build { status: ExitStatus },
+    /// A promise was broken.
+    #[snafu(display("the soak with seed {seed} failed: {status}"))]
+    Failed { seed: u64, status: ExitStatus },
+}
+
+impl Soak {
+    /// Builds the daemon and runs the test.
+    pub(crate) fn execute(&self) -> Result<(), Error> {
+        let status = cargo()
+            .args(["build", "--package", "anvillift-daemon", "--locked"])
+            .status()
+            .context(CargoSnafu)?;
+        ensure!(status.success(), BuildSnafu { status });
+        let seed = self.seed;
+        let status = cargo()
+            .args(["test", "--package", "anvillift", "--locked", "--test", "testsuite", "--"])
+            .args(["--exact", TEST, "--nocapture"])
+            .env("ANVILLIFT_SOAK_SECONDS", (self.minutes * SECONDS_PER_MINUTE).to_string())
+            .env("ANVILLIFT_SOAK_SEED", seed.to_string())
+            .status()
+            .context(CargoSnafu)?;
+        ensure!(status.success(), FailedSnafu { seed, status });
+        Ok(())
+    }
+}
+
+fn cargo() -> Command {
+    Command::new(env!("CARGO"))
+}
