--- a/crates/anvillift-membership/src/settings.rs
+++ b/crates/anvillift-membership/src/settings.rs
@@ -50,6 +50,14 @@
         near.map(|(name, _)| name.clone()).collect()
     }
 
+    /// The hosts of the own data centre, the own one included, in order of name.
+    pub(crate) fn centre(&self) -> Vec<Name> {
+        let mut hosts = self.near();
+        hosts.push(self.identity.name.clone());
+        hosts.sort();
+        hosts
+    }
+
     /// The hosts of the other data centres.
     pub(crate) fn far(&self) -> BTreeMap<Name, Vec<Name>> {
         let mut far = BTreeMap::<Name, Vec<Name>>::new();
