Keep no idle connections in the tests' client

Cause: control::a_frozen_leader_that_wakes_gets_no_order_through failed once in a whole run: a request met a connection reset, on a connection kept from earlier.

Ruled out: Sending again in the client: a test must see each failure.

Change: the client of tests/testsuite/support opens a connection a request.

Conclusion: Whether the reset came from an idle connection closed by the host was not shown, only made impossible.

--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -257,8 +257,10 @@
     }
 }
 
+/// A client that keeps no connection, since hosts are killed and close idle ones.
 fn client() -> Client {
     Client::builder()
+        .pool_max_idle_per_host(0)
         .no_proxy()
         .retry(reqwest::retry::never())
         .read_timeout(CALLER_TIMEOUT)
