Replace the disk that the host itself tells, and wait as refusals say

One test gave up on a change while a leader was being elected.

Ruled out: Waiting for membership to forget the old record: the host itself knows its folder. More attempts of change submit: it now waits as long as the refusal says.

Change: anvillift control replace asks the host for its storage id; change submit honours retry_after_ms; the relay of tests and experiments lets the end of a connection through a cut no sooner than its bytes; a test replaces every disk in turn.

Seen failing: asking the other host for the storage id, replaced_disk_is_the_one_that_the_host_itself_tells; without the wait, change_is_sent_again_no_sooner_than_the_host_says.

--- a/crates/anvillift-bench/src/fleet/relay.rs
+++ b/crates/anvillift-bench/src/fleet/relay.rs
@@ -154,5 +154,7 @@
             return;
         }
     }
+    // The end of a connection crosses a cut no sooner than its bytes.
+    pipe.until_open().await;
     let _ = to.shutdown().await;
 }
--- a/src/cmd/change.rs
+++ b/src/cmd/change.rs
@@ -20,7 +20,7 @@
 use crate::output::{self, Format};
 use crate::table::Table;
 
-/// Wait before a change is sent again.
+/// Shortest wait before a change is sent again.
 const RESEND_WAIT_MS: u64 = 500;
 
 /// Submit a planned change, or show where one is in force.
@@ -115,12 +115,18 @@
                 };
             }
             output::print_note(format_args!("{error}; sending the same change again"));
-            time::sleep(Duration::from_millis(RESEND_WAIT_MS)).await;
+            time::sleep(Duration::from_millis(wait_ms(&error))).await;
             attempt += 1;
         }
     }
 }
 
+/// How long to wait after a failure: as long as the host says, if it says so.
+fn wait_ms(error: &Error) -> u64 {
+    let told = error.problem().and_then(|problem| problem.retry_after_ms);
+    told.unwrap_or(RESEND_WAIT_MS).max(RESEND_WAIT_MS)
+}
+
 /// Whether a later attempt may fare better.
 fn may_send_again(error: &Error) -> bool {
     let codes = [Code::CommitUnknown, Code::NoLeader, Code::NotReady, Code::Draining];
--- a/src/cmd/control.rs
+++ b/src/cmd/control.rs
@@ -4,6 +4,7 @@
 
 use anvillift_schema::configuration::{ControlStatus, ReplicaReplacement};
 use anvillift_schema::consensus::{Voter, VoterSet};
+use anvillift_schema::membership::HostRecord;
 use anvillift_schema::name::Name;
 use anvillift_schema::operators::HostStatus;
 use serde_json::Value;
@@ -115,15 +116,25 @@
         })
     }
 
+    /// The record of the host, as the host asked knows it.
+    async fn own_record(&self, client: &Client) -> Result<HostRecord, Error> {
+        let hosts: Vec<HostStatus> = client.get("/v1/operator/hosts").await?;
+        let mut records = hosts.into_iter().map(|host| host.record);
+        records.find(|record| record.host.as_str() == self.host).ok_or_else(|| Error::Usage {
+            message: format!("{} is not known; start it, or give --new", self.host),
+        })
+    }
+
     /// The replica that shall vote.
     async fn new_voter(&self, client: &Client) -> Result<Voter, Error> {
         if let Some(id) = &self.new {
             return Ok(self.voter(id));
         }
-        let hosts: Vec<HostStatus> = client.get("/v1/operator/hosts").await?;
-        let host = hosts.into_iter().find(|host| host.record.host.as_str() == self.host);
-        let id = host.and_then(|host| host.record.storage_id).ok_or_else(|| Error::Usage {
-            message: format!("{} tells no storage id; start it, or give --new", self.host),
+        // Others may still know the folder that was lost, so the host itself is asked.
+        let asked = self.own_record(client).await?;
+        let itself = client.at(&asked.caller_url);
+        let id = self.own_record(&itself).await?.storage_id.ok_or_else(|| Error::Usage {
+            message: format!("{} has no data folder; give --new", self.host),
         })?;
         Ok(self.voter(&id))
     }
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -117,7 +117,8 @@
     }
     cluster.start_all();
     cluster.settled().await;
-    let id = accepted_when_led(&cluster, first + 5).await;
+    let last = format!("kept-{}", first + 5);
+    let id = accepted_when_led(&cluster, &last, first + 5).await;
     in_force_everywhere(&cluster, "oriente-1", &id).await;
     for host in &hosts {
         let shown = profiles(&cluster, host);
@@ -128,15 +129,14 @@
     }
 }
 
-/// Submits until there is a leader; the change is accepted once.
-async fn accepted_when_led(cluster: &Cluster, revision: u64) -> String {
-    let id = "after-restart";
+/// Submits until there is a leader; the change is accepted once. Gives its id.
+async fn accepted_when_led(cluster: &Cluster, name: &str, revision: u64) -> String {
+    let id = format!("{name}-{revision}");
     wait::until("a change is accepted", async || {
-        let name = format!("kept-{revision}");
-        submit(cluster, "oriente-1", &name, revision, &["--change-id", id]).code == 0
+        submit(cluster, "oriente-1", name, revision, &["--change-id", &id]).code == 0
     })
     .await;
-    id.to_owned()
+    id
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -145,7 +145,7 @@
     let first = founded(&cluster).await;
     accepted(&cluster, "oriente-1", "before", first);
     cluster.wipe("altiplano-1");
-    accepted(&cluster, "oriente-1", "meanwhile", first + 1);
+    accepted_when_led(&cluster, "meanwhile", first + 1).await;
     cluster.restart("altiplano-1").await;
     wait::until("the new replica votes", async || {
         let run = cluster.operate("oriente-1", &["control", "replace", "altiplano-1"]);
@@ -153,16 +153,35 @@
     })
     .await;
     cluster.kill("costa-sur-1");
-    wait::until("the two that remain accept a change", async || {
-        submit(&cluster, "oriente-1", "after", first + 2, &["--change-id", "after"]).code == 0
-    })
-    .await;
+    accepted_when_led(&cluster, "after", first + 2).await;
     let shown = profiles(&cluster, "oriente-1");
     for name in ["before", "meanwhile", "after"] {
         assert_eq!(shown["profiles"][name]["priority"], 3, "{name} is lost");
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn every_disk_is_replaced_one_after_another() {
+    let mut cluster = Cluster::start().await;
+    let first = founded(&cluster).await;
+    let hosts = ["costa-sur-1", "altiplano-1", "oriente-1", "costa-sur-1"];
+    for (revision, host) in (first..).zip(hosts) {
+        cluster.wipe(host);
+        cluster.restart(host).await;
+        let other = if host == "oriente-1" { "altiplano-1" } else { "oriente-1" };
+        wait::until(&format!("the new disk of {host} votes"), async || {
+            cluster.operate(other, &["control", "replace", host]).code == 0
+        })
+        .await;
+        accepted_when_led(&cluster, &format!("kept-{revision}"), revision).await;
+    }
+    let shown = profiles(&cluster, "oriente-1");
+    for revision in first..first + 4 {
+        let name = format!("kept-{revision}");
+        assert_eq!(shown["profiles"][&name]["priority"], 3, "{name} is lost");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn minority_accepts_nothing_and_goes_on_serving() {
     let cluster = Cluster::start().await;
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -2,9 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::time::{Duration, Instant};
 
 use anvillift_schema::burn::BurnCounters;
 use anvillift_schema::code::Code;
+use anvillift_schema::configuration::ControlStatus;
+use anvillift_schema::consensus::{Voter, VoterSet};
 use anvillift_schema::membership::{HostRecord, HostState};
 use anvillift_schema::operators::HostStatus;
 use anvillift_schema::public::{ChangeAnswer, ChangeStatus, Problem, RegionStatus};
@@ -50,6 +53,15 @@
     assert!(run.stderr.contains(&format!("change id: {id}")), "{run:?}");
 }
 
+#[test]
+fn change_is_sent_again_no_sooner_than_the_host_says() {
+    let problem = Problem { retry_after_ms: Some(1_500), ..Code::NoLeader.problem() };
+    let host = FakeHost::start(vec![refused(&problem), accepted()]);
+    let began = Instant::now();
+    assert_eq!(submit(&host, &[]).code, 0);
+    assert!(began.elapsed() >= Duration::from_millis(1_500), "{:?}", began.elapsed());
+}
+
 #[test]
 fn change_without_an_answer_names_the_id_to_go_on_with() {
     let host = FakeHost::start(vec![Answer::Lost]);
@@ -182,6 +194,42 @@
     assert!(fs::read_to_string(plot).expect("a plot").starts_with("<svg"));
 }
 
+#[test]
+fn replaced_disk_is_the_one_that_the_host_itself_tells() {
+    let told = |id: &str, url: &str| {
+        let status = status_of("a-1", url);
+        let record = HostRecord { storage_id: Some(id.to_owned()), ..status.record };
+        Answer::json(200, &[HostStatus { record, ..status }])
+    };
+    let control = |id: &str| {
+        let voter = Voter { host: "a-1".into(), storage_id: id.into() };
+        Answer::json(
+            200,
+            &ControlStatus {
+                role: "leader".to_owned(),
+                leader: None,
+                term: 1,
+                commit_index: 1,
+                voters: VoterSet { voters: vec![voter], learners: Vec::new() },
+                refetching: false,
+                failed: false,
+            },
+        )
+    };
+    let itself = FakeHost::start(vec![told("new-id", "http://unused")]);
+    let voter = FakeHost::start(vec![
+        control("old-id"),
+        told("old-id", &itself.url),
+        Answer::json(200, &Value::Null),
+        control("new-id"),
+    ]);
+    let run = tool::run_at(&voter.url, "key", &["control", "replace", "a-1"]);
+    assert_eq!(run.code, 0, "{run:?}");
+    let sent: Value = serde_json::from_str(&voter.seen()[2].body).expect("a replacement");
+    assert_eq!(sent["old"]["storage_id"], "old-id");
+    assert_eq!(sent["new"]["storage_id"], "new-id");
+}
+
 #[test]
 fn hosts_are_listed_as_text_and_json() {
     let hosts = [status_of("a-1", "http://127.0.0.1:7400")];
