--- /dev/null
+++ b/tests/quickstart.rs
@@ -0,0 +1,26 @@
+//! The quickstart ends with a whole answer and its route.
+//!
+//! `cargo test` without a choice of targets builds the example first.
+
+use std::env;
+use std::path::PathBuf;
+use std::process::Command;
+
+/// Examples stand beside the folder of the test binaries.
+fn quickstart() -> PathBuf {
+    let test = env::current_exe().unwrap();
+    test.parent().and_then(|folder| folder.parent()).unwrap().join("examples/quickstart")
+}
+
+#[test]
+fn the_quickstart_answers_through_another_region_and_exits_0() {
+    let output = Command::new(quickstart()).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}{}", String::from_utf8_lossy(&output.stderr));
+    let line = |start: &str| text.lines().find(|line| line.starts_with(start)).unwrap();
+    assert_eq!(line("answer:").split_whitespace().count(), 13);
+    let route = line("route:");
+    assert!(route.contains("oriente/zacapa-a/"), "{route}");
+    assert!(route.contains(">costa-sur/escuintla-a/"), "{route}");
+    assert!(route.ends_with(">engine-1"), "{route}");
+}
