--- a/crates/anvillift-gateway/src/answer.rs
+++ b/crates/anvillift-gateway/src/answer.rs
@@ -87,3 +87,11 @@
     headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     Answer { status: StatusCode::OK, headers, body: AnswerBody::Whole(body.into()) }
 }
+
+/// A text answer.
+pub(crate) fn text(text: String) -> Answer {
+    let mut headers = HeaderMap::new();
+    let content_type = header::HeaderValue::from_static("text/plain; version=0.0.4");
+    headers.insert(header::CONTENT_TYPE, content_type);
+    Answer { status: StatusCode::OK, headers, body: AnswerBody::Whole(text.into()) }
+}
--- a/crates/anvillift-gateway/src/forward/remote.rs
+++ b/crates/anvillift-gateway/src/forward/remote.rs
@@ -13,6 +13,7 @@
 
 use super::failure::AttemptFailure;
 use crate::answer::{Answer, AnswerBody, AnswerStream};
+use crate::exporter;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::placement;
@@ -38,6 +39,7 @@
     if !placement::allows(&request.profile, &target.region, &target.data_centre) {
         return Err(AttemptFailure::not_run(Code::PlaceNotAllowed));
     }
+    exporter::count_forwarded(&target.region);
     let head = head(gateway, request, target, attempt);
     let open = gateway.mesh().open(&target.host, request.class(), head, request.body.clone());
     let deadline = gateway.clock.instant(request.deadline_ms);
--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -26,8 +26,6 @@
 const RESTART_LIMIT: Duration = Duration::from_secs(20);
 const RESTART_PAUSE: Duration = Duration::from_millis(50);
 const LINK_PORT: u16 = 7101;
-/// Addresses taken before the next port.
-const LINKS_PER_PORT: u32 = 250;
 const REGIONS: [(&str, &str); 3] =
     [("oriente", "zacapa-a"), ("costa-sur", "escuintla-a"), ("altiplano", "xela-a")];
 
@@ -152,7 +150,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: own_link(),
+                link: own_address(),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -160,18 +158,13 @@
     peers
 }
 
-/// A loopback address and port that no other test uses.
-fn own_link() -> String {
+/// A loopback address that no other test uses.
+pub(crate) fn own_address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let process = process::id();
-    let ip = format!(
-        "127.{}.{}.{}",
-        64 + (process >> 8) % 128,
-        process & 0xff,
-        1 + number % LINKS_PER_PORT
-    );
-    format!("{ip}:{}", LINK_PORT + (number / LINKS_PER_PORT) as u16)
+    let (ip, port) = (1 + number % 250, u32::from(LINK_PORT) + number / 250);
+    format!("127.{}.{}.{ip}:{port}", 64 + (process >> 8) % 128, process & 0xff)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
