Hedge slow reads, and never call a request not run that may have run

Cause: hedging was decided and not carried out. A request whose first attempt broke off after it was read was answered with not_run when no other upstream was left to try, since the second decision's refusal was passed on. Ruled out: hedging inside the upstream attempt (it could not reach another region). Change: a read of a profile that asks for it gets a second attempt elsewhere past the usual latency, paid from the retry budget; the outcome of a request is the least certain of its attempts'. Before: admission::a_request_that_may_have_run_is_not_called_not_run_when_no_other_upstream_is_left and admission::a_slow_read_is_hedged_where_the_profile_asks fail.

--- a/crates/anvillift-gateway/src/admission/mod.rs
+++ b/crates/anvillift-gateway/src/admission/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! The host that the caller asked takes a slot ([`slots`]) and counts the
 //! request against its team's limit ([`teams`]); a host that it is handed to
-//! takes only a slot. Retries spend from the budget of the service
-//! ([`retries`]).
+//! takes only a slot. Retries spend from the budget of the service ([`retries`]),
+//! and so do hedges of slow reads ([`hedges`]).
 
+mod hedges;
 mod retries;
 mod slots;
 mod teams;
@@ -17,6 +18,7 @@
 use anvillift_schema::name::Name;
 use anvillift_schema::settings::LimitSettings;
 
+pub(crate) use hedges::{hedge_delay_ms, may_hedge, record_latency};
 pub(crate) use retries::{first_attempt, may_resume, may_retry};
 pub(crate) use slots::AdmissionGuard;
 pub(crate) use teams::lease;
@@ -30,6 +32,7 @@
     admission: Mutex<Admission>,
     teams: Mutex<TeamLimiter>,
     budgets: Mutex<retries::Budgets>,
+    timers: Mutex<hedges::Timers>,
 }
 
 impl AdmissionState {
@@ -42,6 +45,7 @@
             admission: Mutex::new(Admission::new(settings)),
             teams: Mutex::new(TeamLimiter::new(host.clone())),
             budgets: Mutex::default(),
+            timers: Mutex::default(),
         }
     }
 }
--- a/crates/anvillift-gateway/src/admission/retries.rs
+++ b/crates/anvillift-gateway/src/admission/retries.rs
@@ -51,7 +51,8 @@
     resumes < MAX_RESUMES && spend(gateway, request)
 }
 
-fn spend(gateway: &Gateway, request: &Request) -> bool {
+/// Spends the credit of one retry, if there is enough.
+pub(super) fn spend(gateway: &Gateway, request: &Request) -> bool {
     let mut budgets = gateway.admission.budgets.lock().expect("lock");
     budgets.get_mut(&request.service).is_some_and(RetryBudget::spend)
 }
--- a/crates/anvillift-gateway/src/forward/failure.rs
+++ b/crates/anvillift-gateway/src/forward/failure.rs
@@ -25,6 +25,16 @@
         Self { code, outcome: Outcome::Unknown, retry_after_ms: None }
     }
 
+    /// The failure of a request whose earlier attempt failed as well: what may
+    /// have run once may have run.
+    pub(crate) fn after(self, earlier: Option<&Self>) -> Self {
+        let outcome = earlier.map_or(self.outcome, |earlier| match earlier.outcome {
+            Outcome::NotRun => self.outcome,
+            unsure => unsure,
+        });
+        Self { outcome, ..self }
+    }
+
     pub(crate) fn is_not_run(&self) -> bool {
         self.outcome == Outcome::NotRun
     }
--- /dev/null
+++ b/crates/anvillift-gateway/src/forward/hedge.rs
@@ -0,0 +1,90 @@
+//! A second attempt beside a read that takes longer than usual.
+//!
+//! The first answer is taken; dropping the other attempt cancels it at its
+//! upstream. A hedge spends from the retry budget of the service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anvillift_routing::decide::Decision;
+use anvillift_schema::name::Name;
+use tokio::time;
+
+use super::{AttemptResult, attempt, route};
+use crate::admission;
+use crate::gateway::Gateway;
+use crate::request::Request;
+
+/// Carries out a decision, with a hedge where the profile asks for one.
+pub(super) async fn attempt_hedged(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    decision: Decision,
+) -> AttemptResult {
+    let started_ms = gateway.now_ms();
+    let result = match (place(&decision), admission::hedge_delay_ms(gateway, request)) {
+        (Some(place), Some(delay_ms)) => {
+            let first = attempt(gateway, request, decision);
+            race(gateway, request, place, first, Duration::from_millis(delay_ms)).await
+        }
+        _ => attempt(gateway, request, decision).await,
+    };
+    if is_answer(&result) {
+        admission::record_latency(gateway, request, gateway.now_ms() - started_ms);
+    }
+    result
+}
+
+async fn race(
+    gateway: &Arc<Gateway>,
+    request: &Request,
+    place: Name,
+    first: impl Future<Output = AttemptResult>,
+    delay: Duration,
+) -> AttemptResult {
+    tokio::pin!(first);
+    tokio::select! {
+        result = &mut first => return result,
+        () = time::sleep(delay) => {}
+    }
+    let Some(decision) = elsewhere(gateway, request, place) else { return first.await };
+    let second = attempt(gateway, request, decision);
+    tokio::pin!(second);
+    tokio::select! {
+        result = &mut first => answer_of(result, second).await,
+        result = &mut second => answer_of(result, first).await,
+    }
+}
+
+/// A decision for another place, if there is one and the budget allows it.
+fn elsewhere(gateway: &Arc<Gateway>, request: &Request, place: Name) -> Option<Decision> {
+    if !admission::may_hedge(gateway, request) {
+        return None;
+    }
+    let decision = route(gateway, request, &[place]);
+    (!matches!(decision, Decision::Refuse { .. })).then_some(decision)
+}
+
+/// The result if it is an answer, else the other's if that is one.
+async fn answer_of(
+    result: AttemptResult,
+    other: impl Future<Output = AttemptResult>,
+) -> AttemptResult {
+    if is_answer(&result) {
+        return result;
+    }
+    let other = other.await;
+    if is_answer(&other) { other } else { result }
+}
+
+fn is_answer(result: &AttemptResult) -> bool {
+    matches!(result, Ok((_, Ok(_))))
+}
+
+fn place(decision: &Decision) -> Option<Name> {
+    match decision {
+        Decision::Local { upstream } => Some(upstream.clone()),
+        Decision::Forward { data_centre, .. } => Some(data_centre.clone()),
+        Decision::Refuse { .. } => None,
+    }
+}
--- a/crates/anvillift-gateway/src/forward/mod.rs
+++ b/crates/anvillift-gateway/src/forward/mod.rs
@@ -7,6 +7,7 @@
 pub mod event_splitter;
 pub(crate) mod event_stream;
 pub(crate) mod failure;
+mod hedge;
 pub(crate) mod incoming;
 pub(crate) mod local;
 pub(crate) mod remote;
@@ -36,20 +37,22 @@
     }
 }
 
+/// The place asked and what came of it, or a refusal to ask anywhere.
+type AttemptResult = Result<(Name, Result<Answer, AttemptFailure>), Refusal>;
+
 async fn attempts(gateway: &Arc<Gateway>, request: &Request) -> Result<Answer, Refusal> {
     admission::first_attempt(gateway, request);
     let mut tried = Vec::new();
+    let mut earlier: Option<AttemptFailure> = None;
     loop {
-        let mut facts = request.facts(gateway.now_ms());
-        facts.tried = tried.clone();
-        let decision = {
-            let mut router = gateway.router.lock().expect("lock");
-            router.route(gateway.now_ms(), &mut facts, &request.profile)
+        let decision = route(gateway, request, &tried);
+        let (place, result) = match hedge::attempt_hedged(gateway, request, decision).await {
+            Ok(attempted) => attempted,
+            Err(refusal) => return Err(earlier.map_or(refusal, |failure| failure.refusal())),
         };
-        let (place, result) = attempt(gateway, request, decision).await?;
         let failure = match result {
             Ok(answer) => return Ok(answer),
-            Err(failure) => failure,
+            Err(failure) => failure.after(earlier.as_ref()),
         };
         exporter::count_failed_attempt(failure.code);
         log::debug!("attempt of {} at {place} failed: {failure}", request.id);
@@ -57,14 +60,19 @@
         if !admission::may_retry(gateway, request, &failure, tried.len() as u32) {
             return Err(failure.refusal());
         }
+        earlier = Some(failure);
     }
 }
 
-async fn attempt(
-    gateway: &Arc<Gateway>,
-    request: &Request,
-    decision: Decision,
-) -> Result<(Name, Result<Answer, AttemptFailure>), Refusal> {
+fn route(gateway: &Gateway, request: &Request, tried: &[Name]) -> Decision {
+    let now_ms = gateway.now_ms();
+    let mut facts = request.facts(now_ms);
+    facts.tried = tried.to_vec();
+    let mut router = gateway.router.lock().expect("lock");
+    router.route(now_ms, &mut facts, &request.profile)
+}
+
+async fn attempt(gateway: &Arc<Gateway>, request: &Request, decision: Decision) -> AttemptResult {
     let id = attempt_id();
     match decision {
         Decision::Local { upstream } => {
--- a/crates/anvillift-gateway/tests/testsuite/admission.rs
+++ b/crates/anvillift-gateway/tests/testsuite/admission.rs
@@ -1,9 +1,11 @@
-//! Team limits and the retry budget.
+//! Team limits, the retry budget and hedges.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use reqwest::StatusCode;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::cluster::{Cluster, PLAIN};
 use crate::fake_upstream::{FakeUpstream, Responder, SeenRequest};
@@ -90,3 +92,57 @@
     assert!(attempts > requests, "nothing was retried");
     assert!(failed > 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_have_run_is_not_called_not_run_when_no_other_upstream_is_left() {
+    let cluster = Cluster::start(1).await;
+    let upstream = FakeUpstream::start(&cluster, &["oriente-1"], "p1", PLAIN, broken).await;
+    let path = format!("/s/{PLAIN}/pivots/7");
+    let mut outcome = String::new();
+    wait::until("the upstream has read a request", async || {
+        let answer = cluster.get("oriente-1", &path).send().await.expect("answer");
+        outcome = answer.headers()["anvillift-outcome"].to_str().expect("text").to_owned();
+        !upstream.seen().is_empty()
+    })
+    .await;
+    assert_eq!(outcome, "unknown");
+}
+
+/// Answers of a slow upstream take this long.
+const SLOW: Duration = Duration::from_secs(8);
+const WARM_UP_READS: usize = 40;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_read_is_hedged_where_the_profile_asks() {
+    let cluster = Cluster::start_with(1, |settings| {
+        let profiles = settings.configuration.profiles.values_mut();
+        profiles.for_each(|profile| profile.hedge = true);
+    })
+    .await;
+    let slow = Arc::new(AtomicBool::new(false));
+    let is_slow = slow.clone();
+    let answer = move |_, mut responder: Responder| {
+        let is_slow = is_slow.clone();
+        async move {
+            if is_slow.load(Ordering::SeqCst) {
+                time::sleep(SLOW).await;
+            }
+            responder.whole(200, "{}").await;
+            Some(responder)
+        }
+    };
+    let _first = FakeUpstream::start(&cluster, &["oriente-1"], "p1", PLAIN, answer).await;
+    let _second = FakeUpstream::start(&cluster, &["oriente-1"], "p2", PLAIN, whole).await;
+    let path = format!("/s/{PLAIN}/pivots/7");
+    cluster.served("oriente-1", &path).await;
+    for _ in 0..WARM_UP_READS {
+        cluster.served("oriente-1", &path).await;
+    }
+    slow.store(true, Ordering::SeqCst);
+    for _ in 0..8 {
+        let started = Instant::now();
+        let answer = cluster.get("oriente-1", &path).send().await.expect("answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        assert!(started.elapsed() < SLOW / 2, "the read waited for the slow upstream");
+    }
+}
