Wait for both hosts before a command spills in a test

Ruled out: the ledger, whose refusals carry other codes; the answer's code is printed from now on. Change: the test waits until commands run through both hosts. Conclusion: a gap of the test's set-up as far as seen; the failing answer's code was not kept, so this is not certain.

--- a/crates/anvillift-gateway/tests/testsuite/commands.rs
+++ b/crates/anvillift-gateway/tests/testsuite/commands.rs
@@ -280,9 +280,12 @@
     let cluster = cluster().await;
     let upstream = FakeUpstream::start(&cluster, &["costa-sur-1"], "p1", PLAIN, started).await;
     ready(&cluster, "oriente-1").await;
+    ready(&cluster, "oriente-2").await;
     for host in ["oriente-1", "oriente-2", "oriente-1"] {
         let answer = command(&cluster, host, "away").send().await.expect("answer");
-        assert_eq!(answer.status(), StatusCode::OK);
+        let status = answer.status();
+        let text = answer.text().await.expect("body");
+        assert_eq!(status, StatusCode::OK, "{host}: {text}");
     }
     assert_eq!(runs(&upstream, "away"), 1);
 }
