--- a/crates/anvillift-gateway/src/callers/ask.rs
+++ b/crates/anvillift-gateway/src/callers/ask.rs
@@ -13,6 +13,7 @@
 use crate::answer::Answer;
 use crate::burn::Watch;
 use crate::commands;
+use crate::exporter;
 use crate::forward::{self, event_stream};
 use crate::gateway::Gateway;
 use crate::headers;
@@ -36,10 +37,12 @@
 /// Answers a request.
 pub(crate) async fn answer(gateway: &Arc<Gateway>, question: Question) -> Answer {
     let id = Name::from(Uuid::now_v7().to_string());
+    let service = question.service.clone();
     let mut answer = match run(gateway, &id, question).await {
         Ok(answer) => answer,
         Err(refusal) => refusal.answer(Some(&id)),
     };
+    exporter::count_request(gateway, &service, &answer);
     answer.set_header(headers::REQUEST_ID, &id);
     answer
 }
--- a/crates/anvillift-gateway/src/forward/resume.rs
+++ b/crates/anvillift-gateway/src/forward/resume.rs
@@ -13,6 +13,7 @@
 use super::{attempt_id, local};
 use crate::admission;
 use crate::answer::AnswerStream;
+use crate::exporter;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::request::Request;
@@ -98,6 +99,7 @@
         if response.status() != StatusCode::OK {
             return false;
         }
+        exporter::count_resumed();
         self.attempt = attempt;
         self.body = local::to_answer_stream(response);
         true
--- a/crates/anvillift-gateway/tests/testsuite/cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/cluster.rs
@@ -1,7 +1,6 @@
 //! Gateways of three regions in one process.
 
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
 use std::process;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -151,7 +150,7 @@
             let peer = PeerSettings {
                 region: region.into(),
                 data_centre: data_centre.into(),
-                link: format!("{}:{LINK_PORT}", own_ip()),
+                link: own_address(),
             };
             peers.insert(Name::from(format!("{region}-{number}")), peer);
         }
@@ -159,13 +158,13 @@
     peers
 }
 
-/// A loopback address that no other test uses: 12 bits of the process and 10 of a counter.
-fn own_ip() -> Ipv4Addr {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
+/// A loopback address that no other test uses.
+pub(crate) fn own_address() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    assert!(number < 1 << 10, "out of addresses");
-    let own = (process::id() & 0xfff) << 10 | number;
-    Ipv4Addr::from(u32::from(Ipv4Addr::new(127, 64, 0, 0)) + own)
+    let process = process::id();
+    let (ip, port) = (1 + number % 250, u32::from(LINK_PORT) + number / 250);
+    format!("127.{}.{}.{ip}:{port}", 64 + (process >> 8) % 128, process & 0xff)
 }
 
 fn settings(name: &Name, peers: &BTreeMap<Name, PeerSettings>) -> HostSettings {
