Read little from a link before its proof

Cause: anyone who reached the link port could make a host keep a message of up to 64 MiB until the handshake timed out. Ruled out: a smaller message bound, which whole configurations would not fit into. Change: 16 KiB are read of a connection until its dialler is proven.

--- a/crates/anvillift-mesh/src/dial.rs
+++ b/crates/anvillift-mesh/src/dial.rs
@@ -9,11 +9,12 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
+use crate::bounded::Bounded;
 use crate::error::{ConnectSnafu, LinkError, WebSocketSnafu};
 use crate::handshake::{self, Role};
 use crate::settings::MeshSettings;
 use crate::tls::LinkTls;
-use crate::transport::{self, Socket};
+use crate::transport::{self, Connection, Socket};
 use anvillift_schema::name::Name;
 
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -48,12 +49,14 @@
 ) -> Result<(Name, Socket), LinkError> {
     within(async {
         transport::configure(&tcp).context(ConnectSnafu)?;
-        let connection = tls.accept(tcp).await?;
+        let (connection, allowance) = Bounded::new(tls.accept(tcp).await?);
+        let connection: Box<dyn Connection> = Box::new(connection);
         let config = Some(transport::web_socket_config());
         let mut socket = tokio_tungstenite::accept_async_with_config(connection, config)
             .await
             .context(WebSocketSnafu)?;
         let name = handshake::run(&mut socket, settings, Role::Listener).await?;
+        allowance.lift();
         Ok((name, socket))
     })
     .await
--- a/crates/anvillift-mesh/src/lib.rs
+++ b/crates/anvillift-mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! with the smaller name dials. Both sides prove that they hold the link key
 //! before anything else is said. Start at [`mesh::Mesh`].
 
+mod bounded;
 mod codec;
 mod dial;
 pub mod error;
--- a/crates/anvillift-mesh/tests/testsuite/proof.rs
+++ b/crates/anvillift-mesh/tests/testsuite/proof.rs
@@ -86,6 +86,25 @@
     assert!(messages.try_recv().is_err());
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn little_is_read_before_the_proof() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let address = pair::own_address();
+    let (_, mut b) = pair::settings(&address);
+    b.listen = address.clone();
+    let _b = Mesh::start(b, pair::inbox(pair::refuse).0).await.expect("start");
+    let url = format!("ws://{address}/link");
+    let tcp = tokio::net::TcpStream::connect(&address).await.expect("connect");
+    let (socket, _) = tokio_tungstenite::client_async(url, tcp).await.expect("socket");
+    let mut tcp = socket.into_inner();
+    // The head of a masked binary frame of 16 MiB, and a part of the frame.
+    let head = [0x82, 0xff, 0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0];
+    tcp.write_all(&head).await.expect("write");
+    let _ = tcp.write_all(&[0; 256 * 1024]).await;
+    let closed = async { while matches!(tcp.read(&mut [0; 64]).await, Ok(1..)) {} };
+    time::timeout(Duration::from_secs(2), closed).await.expect("closed at once");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn garbage_does_not_stop_the_listener() {
     use tokio::io::AsyncWriteExt;
