Test a start in an isolated region, and record what fails without what

Cause: The tests with real daemons landed without a record of how each was seen failing.

Ruled out: Counting the isolation test's route check as proof: with a router that always prefers another region it still passed, so that only its directory part is shown to fail (without silence).

Change: a host without a disk restarts in an isolated region whose control host is lost, and must come up at the accepted revision.

Before: trials on a scratch copy, each mechanism taken away: places (all three tests of placement and own_region_comes_first_and_places_bind); hops (request_that_was_here_before_is_refused, and loop_through_an_upstream for the same host and region); waiting for what is in flight (command_in_flight_is_answered, streams_on_the_host_and_on_its_links_end_whole); announcing the drain and refusing while draining (the latter test); the word of a leaving upstream (upstream_that_leaves_gets_no_work_on_any_host); expiry (host_cut_from_its_peers_stops_by_itself, upstream_that_falls_silent_gets_no_work); silence (silent_host_is_gone_within_its_time_and_comes_back, isolated_region_answers_its_own_throughout); error events (cut_answer_never_looks_whole); order of hosts (own_region_comes_first_and_places_bind); counts of requests and of cut answers (report_counts_the_requests_of_every_daemon). Without the wait for readiness host_without_a_disk_starts_at_the_revision_of_its_isolated_region fails with revision 0; without asking the hosts of the data centre it passes, since they also send what a heartbeat shows to be missing.

Conclusion: loop_through_an_upstream for another region and each_caller_gets_the_whole_answer_to_its_own_question have not been seen failing yet.

--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use crate::support::cluster::{self, Cluster};
-use crate::support::layout::MODEL;
+use crate::support::layout::{ClusterSettings, MODEL};
 use crate::support::stream;
 use crate::support::upstreams;
 use crate::support::wait;
@@ -58,3 +58,32 @@
     let reading = cluster.read(host, "/pivots/7").send().await.expect("an answer");
     assert_eq!(reading.status(), 200, "{host}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn host_without_a_disk_starts_at_the_revision_of_its_isolated_region() {
+    let settings = ClusterSettings { hosts_per_region: 3, ..ClusterSettings::default() };
+    let mut cluster = Cluster::start_with(settings).await;
+    let _engine = upstreams::engine(&cluster, "xela-a", MODEL, EngineSettings::default()).await;
+    let revision = changed(&cluster).await;
+    wait::until("the change has come to the region", async || {
+        cluster.revision("altiplano-2").await == Some(revision)
+    })
+    .await;
+    // The control host of the region is lost, so that only a host without a disk can tell.
+    cluster.kill("altiplano-1");
+    cluster.isolate_region("altiplano");
+    cluster.restart("altiplano-3").await;
+    assert_eq!(cluster.revision("altiplano-3").await, Some(revision));
+    upstreams::model_served(&cluster, "altiplano-3", MODEL).await;
+}
+
+/// Changes the configuration; gives the revision after it.
+async fn changed(cluster: &Cluster) -> u64 {
+    let path = cluster.folder().join("change.ini");
+    std::fs::write(&path, "[profile added]\npriority = 2\n").expect("written");
+    let path = path.to_str().expect("a path");
+    let submit = ["change", "submit", path, "--expect-revision", "1", "--change-id", "added"];
+    wait::until("the change is accepted", async || cluster.operate("oriente-1", &submit).code == 0)
+        .await;
+    2
+}
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::time::Duration;
 
+use anvillift_schema::configuration::Configuration;
 use anvillift_schema::public::{DirectoryAnswer, Problem, UpstreamStatus};
 use reqwest::{Client, Method, RequestBuilder, Response};
 use rustix::process::Signal;
@@ -145,6 +146,13 @@
         }
     }
 
+    /// The revision in force on a host, if it answers.
+    pub(crate) async fn revision(&self, host: &str) -> Option<u64> {
+        let request = self.client.get(self.url(host) + "/v1/operator/configuration");
+        let answer = request.bearer_auth(OPERATOR_KEY).send().await.ok()?;
+        answer.json::<Configuration>().await.ok().map(|held| held.revision)
+    }
+
     /// Waits until a host is ready.
     pub(crate) async fn ready(&self, host: &str) {
         wait::until(&format!("{host} is ready"), async || {
