Check the histories of keys by a linearizability library

Cause: the schedules were held by invariants only. Ruled out: attempts that did nothing as operations of the history: they bind nothing, and a failing check took more than a minute with them. Change: the history of each key in a schedule goes through todc-utils' checker; an attempt whose end is unknown may take effect until the last step. Before: invariants only.

--- a/crates/anvillift-ledger/tests/schedules.rs
+++ b/crates/anvillift-ledger/tests/schedules.rs
@@ -11,6 +11,9 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::{Action, History};
+use todc_utils::specifications::Specification;
 
 const KEYS: usize = 2;
 const STEPS: usize = 400;
@@ -47,6 +50,40 @@
     /// Commands on their way to the upstream.
     in_flight: Vec<usize>,
     told: BTreeMap<usize, Answer>,
+    /// Starts and ends of attempts, in order.
+    events: Vec<(usize, Event)>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Event {
+    Start,
+    End,
+}
+
+/// What an attempt did to its key, for the history of the key.
+#[derive(Clone, Debug)]
+enum Effect {
+    Ran(usize),
+    Replayed(usize),
+}
+
+/// A key that one attempt may run.
+struct KeySpec;
+
+impl Specification for KeySpec {
+    type State = Option<usize>;
+    type Operation = Effect;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(effect: &Self::Operation, ran_by: &Self::State) -> (bool, Self::State) {
+        match effect {
+            Effect::Ran(attempt) => (ran_by.is_none(), Some(*attempt)),
+            Effect::Replayed(attempt) => (*ran_by == Some(*attempt), *ran_by),
+        }
+    }
 }
 
 impl World {
@@ -63,6 +100,7 @@
             runs: BTreeMap::new(),
             in_flight: Vec::new(),
             told: BTreeMap::new(),
+            events: Vec::new(),
         }
     }
 
@@ -99,6 +137,7 @@
         let attempt = Attempt::new(settings, self.now_ms);
         self.proposals.push(Proposal { attempt: number, operation: attempt.reservation() });
         self.attempts.push((key, State::Reserving(attempt)));
+        self.events.push((number, Event::Start));
     }
 
     fn take_proposal(&mut self) -> Option<Proposal> {
@@ -235,11 +274,53 @@
     fn finish(&mut self, number: usize, step: Step) {
         let Step::Finish { answer, settle } = step else { panic!("sends after its end") };
         self.told.insert(number, answer);
+        self.events.push((number, Event::End));
         if let Some(operation) = settle {
             self.proposals.push(Proposal { attempt: number, operation });
         }
     }
 
+    /// What an attempt did to its key, if anything.
+    fn effect(&self, number: usize) -> Option<Effect> {
+        let key = self.attempts[number].0;
+        let runs = self.runs.get(&key).map(Vec::as_slice).unwrap_or_default();
+        if let Some(Answer::Replay { answer_hash, .. }) = self.told.get(&number) {
+            let by = answer_hash.strip_prefix("by-")?.parse().ok()?;
+            return Some(Effect::Replayed(by));
+        }
+        runs.contains(&number).then_some(Effect::Ran(number))
+    }
+
+    /// The history of a key. What was told `unknown`, or never answered, may take
+    /// effect until the end.
+    fn history(&self, key: usize) -> Vec<(usize, Action<Effect>)> {
+        let mut open = BTreeMap::new();
+        let mut actions = Vec::new();
+        for (number, event) in &self.events {
+            let Some(effect) = self.effect(*number) else { continue };
+            if self.attempts[*number].0 != key {
+                continue;
+            }
+            let unknown = matches!(
+                self.told.get(number),
+                Some(Answer::Refused { outcome: Outcome::Unknown, .. })
+            );
+            match event {
+                Event::Start => {
+                    open.insert(*number, effect.clone());
+                    actions.push((*number, Action::Call(effect)));
+                }
+                Event::End if unknown => {}
+                Event::End => {
+                    open.remove(number);
+                    actions.push((*number, Action::Response(effect)));
+                }
+            }
+        }
+        actions.extend(open.into_iter().map(|(number, effect)| (number, Action::Response(effect))));
+        actions
+    }
+
     fn check(&self) -> Result<(), TestCaseError> {
         for (key, runs) in &self.runs {
             prop_assert!(runs.len() <= 1, "key {key} ran by {runs:?}");
@@ -275,6 +356,13 @@
             world.step();
             world.check()?;
         }
+        for key in 0..KEYS {
+            let actions = world.history(key);
+            if !actions.is_empty() {
+                let history = History::from_actions(actions);
+                prop_assert!(WGLChecker::<KeySpec>::is_linearizable(history), "key {key}");
+            }
+        }
     }
 }
 
