--- a/crates/anvillift-bench/src/compare/flood.rs
+++ b/crates/anvillift-bench/src/compare/flood.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvillift_schema::configuration::Team;
+use anvillift_schema::configuration::{ServiceKind, Team};
 use anvillift_schema::name::Name;
 
 use crate::error::BenchError;
@@ -46,8 +46,9 @@
 pub async fn run(experiment: &Experiment, seed: u64) -> Result<FloodOutcome, BenchError> {
     let flood = at_load(experiment, FLOOD_LOAD_MILLI);
     let quiet = at_load(experiment, QUIET_LOAD_MILLI);
-    let capacity_per_s: f64 =
-        experiment.services.iter().map(|service| experiment.capacity_per_s(&service.name)).sum();
+    // Only engines have a capacity; the flood asks for them.
+    let models = experiment.services.iter().filter(|service| service.kind == ServiceKind::Model);
+    let capacity_per_s: f64 = models.map(|service| experiment.capacity_per_s(&service.name)).sum();
     let limit_per_s = capacity_per_s * LIMIT_MILLI as f64 / 1000.0;
     let team = Team {
         name: Name::from("flood"),
--- a/crates/anvillift-bench/src/compare/report.rs
+++ b/crates/anvillift-bench/src/compare/report.rs
@@ -71,7 +71,7 @@
     match verdict.met {
         Some(true) => "met",
         Some(false) => "MISSED",
-        None => "not measured",
+        None => "not judged",
     }
 }
 
--- a/crates/anvillift-bench/src/compare/targets.rs
+++ b/crates/anvillift-bench/src/compare/targets.rs
@@ -27,7 +27,7 @@
     pub target: String,
     /// What was measured.
     pub measured: String,
-    /// Whether it is met; `None` when it was not measured.
+    /// Whether it is met; `None` when there was nothing to judge it by.
     pub met: Option<bool>,
 }
 
@@ -137,12 +137,11 @@
     let met = equals.iter().all(|policy| {
         own.0 < value(*policy, &measures::AWAY) && own.1 <= value(*policy, &measures::COMPUTED)
     });
+    let met = (!equals.is_empty()).then_some(met);
     let others = if listed.is_empty() { "none".to_owned() } else { listed.join(", ") };
-    verdict(
-        "fewer sent away than each baseline that meets p95 1200 ms, at no higher cost",
-        format!("{:.1} % at {:.0} tokens an answer, against {others}", own.0, own.1),
-        met,
-    )
+    let measured = format!("{:.1} % at {:.0} tokens an answer, against {others}", own.0, own.1);
+    let target = "fewer sent away than each baseline that meets p95 1200 ms, at no higher cost";
+    Verdict { target: target.to_owned(), measured, met }
 }
 
 fn goodput(comparison: &Comparison, at_capacity: &Outcome, at_twice: &Outcome) -> Verdict {
--- a/crates/anvillift-bench/src/data_path.rs
+++ b/crates/anvillift-bench/src/data_path.rs
@@ -203,14 +203,18 @@
         ]
     }
 
-    /// Endings other than whole, by name.
-    pub fn failures(&self) -> BTreeMap<&'static str, u64> {
-        BTreeMap::from([
-            ("direct", self.direct.sent - self.direct.whole),
-            ("through", self.through.sent - self.through.whole),
-            ("direct readings", self.direct_readings.sent - self.direct_readings.whole),
-            ("through readings", self.through_readings.sent - self.through_readings.whole),
-        ])
+    /// Endings other than whole, by name, with the codes of refusals.
+    pub fn failures(&self) -> BTreeMap<String, u64> {
+        let named = [
+            ("direct", &self.direct),
+            ("through", &self.through),
+            ("direct readings", &self.direct_readings),
+            ("through readings", &self.through_readings),
+        ];
+        let failures = named.into_iter().map(|(name, tally)| {
+            (format!("{name}, refused by code {:?}", tally.codes), tally.sent - tally.whole)
+        });
+        failures.collect()
     }
 }
 
--- a/crates/anvillift-bench/src/trial/outcome.rs
+++ b/crates/anvillift-bench/src/trial/outcome.rs
@@ -89,6 +89,6 @@
     /// Share of all answers that came from another region.
     pub fn away_share(&self) -> f64 {
         let total = self.tally.total();
-        total.away as f64 / total.whole.max(1) as f64
+        total.away as f64 / (total.whole + total.unfinished).max(1) as f64
     }
 }
