--- a/crates/anvillift-bench/benches/decide.rs
+++ b/crates/anvillift-bench/benches/decide.rs
@@ -118,7 +118,7 @@
         data_centre: name("data-centre", 0),
         upstreams: (0..UPSTREAMS).map(upstream).collect(),
         data_centres: (1..DATA_CENTRES).map(data_centre).collect(),
-        spilling: false,
+        ..LoadView::default()
     };
     router.refresh(1_000, &Name::from("service"), view);
     for history in 0..HISTORIES {
--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -18,7 +18,7 @@
 use crate::snapshot::Snapshot;
 
 /// Between two looks at what is due, in milliseconds.
-const TICK_MS: u64 = 50;
+const TICK_MS: u64 = 100;
 
 /// Ticks membership until the task is aborted.
 pub(crate) async fn run(gateway: Arc<Gateway>) {
@@ -122,7 +122,7 @@
         data_centre: gateway.data_centre().clone(),
         upstreams: upstreams.map(upstream_room).collect(),
         data_centres: rooms.collect(),
-        spilling: false,
+        ..LoadView::default()
     }
 }
 
--- a/crates/anvillift-routing/src/decide.rs
+++ b/crates/anvillift-routing/src/decide.rs
@@ -100,9 +100,10 @@
     draws: &mut SmallRng,
 ) -> Option<Candidate<'a, UpstreamRoom>> {
     let weights = Weights::of(profile);
+    let serving: Vec<bool> = view.model_sets.iter().map(|models| serves(models, request)).collect();
     let mut shortlist = Shortlist::default();
     for (position, room) in view.upstreams.iter().enumerate() {
-        if may_use(room, request) {
+        if may_use(room, request, &serving) {
             let estimate = estimate::at_upstream(room, request, 0);
             shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
         }
@@ -110,7 +111,7 @@
     for cached in &request.cached {
         let Some(position) = view.position(&cached.holder) else { continue };
         let room = &view.upstreams[position];
-        if may_use(room, request) {
+        if may_use(room, request, &serving) {
             let estimate = estimate::at_upstream(room, request, cached.tokens);
             shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
         }
@@ -123,14 +124,19 @@
     })
 }
 
-fn may_use(room: &UpstreamRoom, request: &RequestFacts) -> bool {
-    let serves = match &request.model {
-        Some(model) => room.models.is_empty() || room.models.contains(model),
-        None => true,
+fn may_use(room: &UpstreamRoom, request: &RequestFacts, serving: &[bool]) -> bool {
+    let serves = match room.model_set {
+        Some(set) => serving[set],
+        None => serves(&room.models, request),
     };
     serves && !request.tried.contains(&room.upstream)
 }
 
+/// Whether an upstream with these models serves the request; no models stand for any.
+fn serves(models: &[Name], request: &RequestFacts) -> bool {
+    request.model.as_ref().is_none_or(|model| models.is_empty() || models.contains(model))
+}
+
 fn best_data_centre<'a>(
     request: &RequestFacts,
     view: &'a LoadView,
--- a/crates/anvillift-routing/src/estimate.rs
+++ b/crates/anvillift-routing/src/estimate.rs
@@ -1,7 +1,7 @@
 //! How long a request would take at an upstream or in a data centre.
 //!
 //! Reported load lags, so what was sent since the report is added to it.
-//! Start at [`Estimate`].
+//! Start at [`Estimate`]; [`Basis`] is the part that all requests share.
 
 use crate::load_view::{DataCentreRoom, UpstreamRoom};
 use crate::request::RequestFacts;
@@ -40,24 +40,52 @@
     pub prefill_ms: f64,
 }
 
+/// What an upstream would make any request meet; worked out once a change of
+/// its load, and not once a decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Wait that does not depend on the request, in milliseconds.
+    wait_ms: f64,
+    /// Wait for a slot for each token of the answer, in milliseconds.
+    slot_ms_per_answer_token: f64,
+    /// Prefill of one token, in milliseconds.
+    ms_per_token: f64,
+    /// Gap between tokens, in milliseconds.
+    gap_ms: f64,
+}
+
+impl Basis {
+    /// The basis of an upstream's load as it is known now.
+    pub fn of(room: &UpstreamRoom) -> Self {
+        let load = &room.load;
+        let ms_per_token = ms_per_token(load.prefill_rate_tokens_per_s);
+        let queued_tokens = load.queued_tokens + room.sent_tokens;
+        let reported = load.running_requests + load.queued_requests;
+        let outstanding = f64::from(reported.max(room.own_in_flight));
+        let gap_ms = gap_ms(load.running_requests, load.token_rate_milli);
+        let slots = if load.max_running_requests == 0 {
+            ASSUMED_SLOTS
+        } else {
+            f64::from(load.max_running_requests)
+        };
+        Self {
+            wait_ms: queued_tokens as f64 * ms_per_token
+                + outstanding * OUTSTANDING_COST_MS
+                + ramp_up_ms(room, slots),
+            slot_ms_per_answer_token: slot_wait_ms(outstanding, slots, 1, gap_ms),
+            ms_per_token,
+            gap_ms,
+        }
+    }
+}
+
 /// Expectation at an upstream that has `cached_tokens` of the prompt.
 pub fn at_upstream(room: &UpstreamRoom, request: &RequestFacts, cached_tokens: u64) -> Estimate {
-    let load = &room.load;
-    let ms_per_token = ms_per_token(load.prefill_rate_tokens_per_s);
-    let queued_tokens = load.queued_tokens + room.sent_tokens;
-    let outstanding = (load.running_requests + load.queued_requests).max(room.own_in_flight) as f64;
-    let gap_ms = gap_ms(load.running_requests, load.token_rate_milli);
-    let slots = if load.max_running_requests == 0 {
-        ASSUMED_SLOTS
-    } else {
-        f64::from(load.max_running_requests)
-    };
-    let slot_wait_ms = slot_wait_ms(outstanding, slots, request.answer_tokens, gap_ms);
-    let prefill_ms = request.prompt_tokens.saturating_sub(cached_tokens) as f64 * ms_per_token;
-    let wait_ms = queued_tokens as f64 * ms_per_token
-        + slot_wait_ms
-        + outstanding * OUTSTANDING_COST_MS
-        + ramp_up_ms(room, slots);
+    let Basis { wait_ms, slot_ms_per_answer_token, ms_per_token, gap_ms } =
+        room.basis.unwrap_or_else(|| Basis::of(room));
+    let computed_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
+    let prefill_ms = computed_tokens as f64 * ms_per_token;
+    let wait_ms = wait_ms + slot_ms_per_answer_token * request.answer_tokens as f64;
     Estimate { wait_ms, first_token_ms: wait_ms + prefill_ms + gap_ms, gap_ms, prefill_ms }
 }
 
--- a/crates/anvillift-routing/src/load_view.rs
+++ b/crates/anvillift-routing/src/load_view.rs
@@ -3,6 +3,8 @@
 use anvillift_schema::name::Name;
 use anvillift_schema::upstream::UpstreamLoad;
 
+use crate::estimate::Basis;
+
 /// Load of the own data centre and of the others, at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
@@ -17,9 +19,25 @@
     pub data_centres: Vec<DataCentreRoom>,
     /// Whether requests were sent away lately.
     pub spilling: bool,
+    /// Different sets of models that the upstreams have loaded, once prepared.
+    pub model_sets: Vec<Vec<Name>>,
 }
 
 impl LoadView {
+    /// Orders the upstreams and works out what all decisions share.
+    pub fn prepare(&mut self) {
+        self.upstreams.sort_by(|one, other| one.upstream.cmp(&other.upstream));
+        self.model_sets.clear();
+        for room in &mut self.upstreams {
+            let known = self.model_sets.iter().position(|set| *set == room.models);
+            room.model_set = Some(known.unwrap_or(self.model_sets.len()));
+            if known.is_none() {
+                self.model_sets.push(room.models.clone());
+            }
+            room.basis = Some(Basis::of(room));
+        }
+    }
+
     /// Position of an upstream, the upstreams being in order of their names.
     pub fn position(&self, upstream: &str) -> Option<usize> {
         self.upstreams.binary_search_by(|room| room.upstream.as_str().cmp(upstream)).ok()
@@ -43,6 +61,10 @@
     pub own_in_flight: u32,
     /// Time since the upstream was first seen, in milliseconds.
     pub known_ms: u64,
+    /// Position of its models among [`LoadView::model_sets`], once prepared.
+    pub model_set: Option<usize>,
+    /// What all requests would meet there, once prepared.
+    pub basis: Option<Basis>,
 }
 
 /// Room at another data centre.
--- a/crates/anvillift-routing/src/router.rs
+++ b/crates/anvillift-routing/src/router.rs
@@ -13,6 +13,7 @@
 use rand::rngs::SmallRng;
 
 use crate::decide::{self, Decision};
+use crate::estimate::Basis;
 use crate::load_view::LoadView;
 use crate::policy::{self, Policy};
 use crate::prefix::{PrefixIndex, PrefixIndexSettings};
@@ -84,7 +85,6 @@
     pub fn refresh(&mut self, now_ms: u64, service: &Name, mut view: LoadView) {
         let started_ms = *self.started_ms.get_or_insert(now_ms);
         let state = self.services.entry(service.clone()).or_default();
-        view.upstreams.sort_by(|one, other| one.upstream.cmp(&other.upstream));
         for room in &mut view.upstreams {
             let place = state.places.entry(room.upstream.clone()).or_insert_with(|| Place {
                 first_seen_ms: if now_ms == started_ms { 0 } else { now_ms },
@@ -106,6 +106,7 @@
         view.spilling =
             spilled_ms.is_some_and(|spilled| now_ms.saturating_sub(spilled) <= SPILLING_MS);
         state.places.retain(|_, place| place.last_seen_ms == now_ms || place.in_flight > 0);
+        view.prepare();
         state.view = view;
     }
 
@@ -154,6 +155,7 @@
         if let Some(position) = state.view.position(place) {
             let room = &mut state.view.upstreams[position];
             room.own_in_flight = room.own_in_flight.saturating_sub(1);
+            room.basis = Some(Basis::of(room));
         }
     }
 
@@ -177,6 +179,7 @@
             let room = &mut state.view.upstreams[position];
             room.own_in_flight += 1;
             room.sent_tokens += tokens;
+            room.basis = Some(Basis::of(room));
         }
         if let Some(room) =
             state.view.data_centres.iter_mut().find(|room| room.data_centre == *place)
