--- a/crates/anvillift-bench/src/compare/targets.rs
+++ b/crates/anvillift-bench/src/compare/targets.rs
@@ -165,10 +165,14 @@
 fn attempts(comparison: &Comparison, failing: &Outcome) -> Verdict {
     let models = failing.of_models(&comparison.experiment);
     let ratio = failing.totals.attempts as f64 / models.sent.max(1) as f64;
-    let whole = models.whole as f64 * 100.0 / models.sent.max(1) as f64;
+    let share = |part: u64| part as f64 * 100.0 / models.sent.max(1) as f64;
+    let (whole, refused) = (share(models.whole), share(models.refused));
     verdict(
         "with 30 % of workers failing, attempts at most 1.1 times requests",
-        format!("{ratio:.3} times; {whole:.1} % answered"),
+        format!(
+            "{ratio:.3} times; {whole:.1} % answered, {refused:.1} % refused, by code {:?}",
+            models.codes
+        ),
         ratio <= ATTEMPTS_PER_REQUEST,
     )
 }
