--- /dev/null
+++ b/crates/anvillift-gateway/src/exporter.rs
@@ -0,0 +1,69 @@
+//! Metrics of the process, and their page.
+//!
+//! The recorder belongs to the process: a daemon installs it once, before it
+//! starts its gateway. Without one the metrics go nowhere.
+
+use std::sync::OnceLock;
+
+use anvillift_schema::code::Code;
+use anvillift_schema::name::Name;
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+
+use crate::answer::{self, Answer};
+use crate::gateway::Gateway;
+use crate::problem::Refusal;
+
+const UNKNOWN_SERVICE: &str = "unknown";
+
+static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder of the process; called once.
+pub fn install_metrics() -> Result<(), BuildError> {
+    let handle = PrometheusBuilder::new().install_recorder()?;
+    let _ = RECORDER.set(handle);
+    Ok(())
+}
+
+/// The page of `/metrics`.
+pub(crate) fn page(gateway: &Gateway) -> Answer {
+    let Some(recorder) = RECORDER.get() else {
+        return Refusal::from(Code::NotFound).answer(None);
+    };
+    set_gauges(gateway);
+    recorder.run_upkeep();
+    answer::text(recorder.render())
+}
+
+/// Counts a request by its service and the status of its answer.
+pub(crate) fn count_request(gateway: &Gateway, service: &str, answer: &Answer) {
+    let known = gateway.configuration.load().services.contains_key(service);
+    let service = if known { service } else { UNKNOWN_SERVICE };
+    let labels = [("service", service.to_owned()), ("status", answer.status.as_u16().to_string())];
+    counter!("anvillift_requests_total", &labels).increment(1);
+}
+
+/// Counts an attempt that failed.
+pub(crate) fn count_failed_attempt(code: Code) {
+    counter!("anvillift_failed_attempts_total", "code" => code.number().to_string()).increment(1);
+}
+
+/// Counts a request that was handed to another region.
+pub(crate) fn count_forwarded(region: &Name) {
+    counter!("anvillift_forwarded_total", "region" => region.to_string()).increment(1);
+}
+
+/// Counts a stream that was resumed.
+pub(crate) fn count_resumed() {
+    counter!("anvillift_resumed_streams_total").increment(1);
+}
+
+fn set_gauges(gateway: &Gateway) {
+    let snapshot = gateway.snapshot.load();
+    let alive = snapshot.view.hosts.values().filter(|host| host.alive).count();
+    gauge!("anvillift_requests_in_flight").set(f64::from(gateway.in_flight.count()));
+    gauge!("anvillift_upstreams").set(snapshot.view.upstreams.len() as f64);
+    gauge!("anvillift_hosts_alive").set(alive as f64);
+    gauge!("anvillift_links_up").set(gateway.mesh().linked().len() as f64);
+    gauge!("anvillift_configuration_revision").set(gateway.configuration.load().revision as f64);
+}
--- a/crates/anvillift-mesh/src/lib.rs
+++ b/crates/anvillift-mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! with the smaller name dials. Both sides prove that they hold the link key
 //! before anything else is said. Start at [`mesh::Mesh`].
 
+mod bounded;
 mod codec;
 mod dial;
 pub mod error;
@@ -16,6 +17,7 @@
 mod settings;
 pub mod stream;
 mod stream_state;
+pub mod tls;
 mod transport;
 mod write_queue;
 
