Weigh computed prompts for what they delay, and make decisions cheaper

Cause: a decision took 232,948 instructions with 640 workers, a third of them comparing model names; hosts of a data centre were collected and hashed again for each request's team limit.

--- a/crates/anvillift-bench/benches/decide.rs
+++ b/crates/anvillift-bench/benches/decide.rs
@@ -13,7 +13,7 @@
 use anvillift_routing::prefix;
 use anvillift_routing::request::RequestFacts;
 use anvillift_routing::router::{Router, RouterSettings};
-use anvillift_routing::team_limit::{self, TeamLimiter, TeamVerdict};
+use anvillift_routing::team_limit::{Owners, TeamLimiter, TeamVerdict};
 use anvillift_routing::{
     decide::Decision,
     load_view::{DataCentreRoom, LoadView, UpstreamRoom},
@@ -39,7 +39,7 @@
 struct Scene {
     router: Router,
     limiter: TeamLimiter,
-    hosts: Vec<Name>,
+    owners: Owners,
     team: Team,
     request: RequestFacts,
     profile: Profile,
@@ -124,21 +124,21 @@
     for history in 0..HISTORIES {
         router.route(1_000, &mut request(history), &profile);
     }
-    let hosts: Vec<Name> = (0..HOSTS).map(|host| name("host", host)).collect();
+    let owners = Owners::new((0..HOSTS).map(|host| name("host", host)));
     let asked = team(teams / 2);
-    let owner = team_limit::owner(&asked.name, &hosts).expect("there are hosts");
-    let mut limiter = TeamLimiter::new(owner);
+    let owner = owners.owner(&asked.name).expect("there are hosts");
+    let mut limiter = TeamLimiter::new(owner.clone());
     for number in 0..teams {
-        limiter.admit(1_000, &team(number), 100, &hosts);
+        limiter.admit(1_000, &team(number), 100, &owners);
     }
-    Scene { router, limiter, hosts, team: asked, request: request(7), profile }
+    Scene { router, limiter, owners, team: asked, request: request(7), profile }
 }
 
 #[library_benchmark]
 #[bench::few_teams(scene(FEW_TEAMS))]
 #[bench::all_teams(scene(TEAMS))]
 fn decision(mut scene: Scene) -> (TeamVerdict, Decision, Scene) {
-    let verdict = scene.limiter.admit(1_010, &scene.team, 6_000, &scene.hosts);
+    let verdict = scene.limiter.admit(1_010, &scene.team, 6_000, &scene.owners);
     let decision = scene.router.route(1_010, &mut scene.request, &scene.profile);
     black_box((verdict, decision, scene))
 }
--- a/crates/anvillift-gateway/src/admission/teams.rs
+++ b/crates/anvillift-gateway/src/admission/teams.rs
@@ -9,7 +9,6 @@
 use anvillift_schema::code::Code;
 use anvillift_schema::configuration::Team;
 use anvillift_schema::link::{PeerAnswer, PeerCall};
-use anvillift_schema::membership::HostState;
 use anvillift_schema::name::Name;
 
 use crate::gateway::Gateway;
@@ -25,15 +24,16 @@
         return Ok(());
     };
     let tokens = facts.prompt_tokens + facts.answer_tokens;
-    let hosts = hosts(gateway);
+    let snapshot = gateway.snapshot.load_full();
+    let owners = &snapshot.owners;
     let now_ms = gateway.now_ms();
     let limiter = &gateway.admission.teams;
-    let mut verdict = limiter.lock().expect("lock").admit(now_ms, &team, tokens, &hosts);
+    let mut verdict = limiter.lock().expect("lock").admit(now_ms, &team, tokens, owners);
     if let TeamVerdict::LeaseNeeded { owner, wanted } = verdict {
         let result = ask(gateway, &team, &owner, wanted).await;
         let now_ms = gateway.now_ms();
         let mut limiter = limiter.lock().expect("lock");
-        verdict = limiter.admit_leased(now_ms, &team, tokens, hosts.len(), result);
+        verdict = limiter.admit_leased(now_ms, &team, tokens, owners.len(), result);
     }
     match verdict {
         TeamVerdict::Admitted => Ok(()),
@@ -67,17 +67,3 @@
         _ => LeaseResult::OwnerSilent,
     }
 }
-
-/// Hosts of the data centre that are alive and ready, the own one included.
-fn hosts(gateway: &Gateway) -> Vec<Name> {
-    let snapshot = gateway.snapshot.load();
-    let inside = snapshot.view.hosts.values().filter(|host| {
-        let ready = host.alive && host.record.state == HostState::Ready;
-        ready && host.record.data_centre == *gateway.data_centre()
-    });
-    let mut hosts: Vec<Name> = inside.map(|host| host.record.host.clone()).collect();
-    if !hosts.contains(gateway.host()) {
-        hosts.push(gateway.host().clone());
-    }
-    hosts
-}
--- a/crates/anvillift-gateway/src/membership.rs
+++ b/crates/anvillift-gateway/src/membership.rs
@@ -71,7 +71,8 @@
             );
         }
     }
-    gateway.snapshot.store(Arc::new(Snapshot { view, taken_ms: now_ms }));
+    let snapshot = Snapshot::new(view, now_ms, &gateway.settings.host);
+    gateway.snapshot.store(Arc::new(snapshot));
 }
 
 /// The hosts of another data centre that can take a request now.
--- a/crates/anvillift-gateway/src/snapshot.rs
+++ b/crates/anvillift-gateway/src/snapshot.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use anvillift_membership::view::{HostView, UpstreamView, View};
+use anvillift_routing::team_limit::Owners;
 use anvillift_schema::configuration::Profile;
 use anvillift_schema::membership::HostState;
 use anvillift_schema::name::Name;
+use anvillift_schema::settings::Identity;
 
 use crate::placement;
 
@@ -14,9 +16,22 @@
 pub(crate) struct Snapshot {
     pub(crate) view: View,
     pub(crate) taken_ms: u64,
+    /// Hosts of the own data centre that may own the buckets of teams.
+    pub(crate) owners: Owners,
 }
 
 impl Snapshot {
+    /// What is known at `taken_ms` on a host of a data centre.
+    pub(crate) fn new(view: View, taken_ms: u64, own: &Identity) -> Self {
+        let inside = view.hosts.values().map(|host| (host.alive, &host.record));
+        let ready = inside.filter(|(alive, record)| {
+            let takes = *alive && record.state == HostState::Ready;
+            record.host == own.name || takes && record.data_centre == own.data_centre
+        });
+        let owners = Owners::new(ready.map(|(_, record)| record.host.clone()));
+        Self { view, taken_ms, owners }
+    }
+
     /// An upstream that is still fresh at `now_ms`.
     pub(crate) fn upstream(
         &self,
--- a/crates/anvillift-routing/examples/decision_cost.rs
+++ b/crates/anvillift-routing/examples/decision_cost.rs
@@ -8,7 +8,7 @@
 use anvillift_routing::prefix::BLOCK_BYTES;
 use anvillift_routing::request::RequestFacts;
 use anvillift_routing::router::{Router, RouterSettings};
-use anvillift_routing::team_limit::TeamLimiter;
+use anvillift_routing::team_limit::{Owners, TeamLimiter};
 use anvillift_schema::configuration::{Profile, Team};
 use anvillift_schema::name::Name;
 use anvillift_schema::upstream::UpstreamLoad;
@@ -89,9 +89,9 @@
         print(&format!("{workers:7}  {decision_us:11.2}  {refresh_us:10.1}"));
     }
     print("teams  us/admission");
-    let hosts: Vec<Name> = (0..14).map(|host| Name::from(format!("host-{host}"))).collect();
+    let owners = Owners::new((0..14).map(|host| Name::from(format!("host-{host}"))));
     for teams in [300, 3_000, 30_000] {
-        let mut limiter = TeamLimiter::new(hosts[0].clone());
+        let mut limiter = TeamLimiter::new(Name::from("host-0"));
         let teams: Vec<Team> = (0..teams)
             .map(|team| Team {
                 name: Name::from(format!("team-{team}")),
@@ -103,7 +103,7 @@
         let started = Instant::now();
         for number in 0..DECISIONS as usize {
             let team = &teams[number * 7_919 % teams.len()];
-            limiter.admit(number as u64 / 20, team, 100, &hosts);
+            limiter.admit(number as u64 / 20, team, 100, &owners);
         }
         let admission_us = started.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64;
         print(&format!("{:5}  {admission_us:12.2}", teams.len()));
--- a/crates/anvillift-routing/src/decide.rs
+++ b/crates/anvillift-routing/src/decide.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use crate::estimate::{self, Estimate};
+use crate::estimate::{self, Estimate, RequestTokens};
 use crate::load_view::{DataCentreRoom, LoadView, UpstreamRoom};
 use crate::request::RequestFacts;
 use crate::shortlist::Shortlist;
@@ -28,6 +28,9 @@
 /// Cost of leaving the own region at equal weights, in milliseconds.
 const AWAY_COST_MS: f64 = 300.0;
 
+/// Weight of a prefill for the requests that it delays.
+const RECOMPUTE_WEIGHT: f64 = 4.0;
+
 /// Tokens of an answer whose late gaps count against a place.
 const LATE_GAP_TOKENS: u64 = 64;
 
@@ -99,21 +102,23 @@
     profile: &Profile,
     draws: &mut SmallRng,
 ) -> Option<Candidate<'a, UpstreamRoom>> {
-    let weights = Weights::of(profile);
+    let weights = Weights::of(profile, request);
+    let tokens = RequestTokens::of(request, 0);
     let serving: Vec<bool> = view.model_sets.iter().map(|models| serves(models, request)).collect();
     let mut shortlist = Shortlist::default();
     for (position, room) in view.upstreams.iter().enumerate() {
         if may_use(room, request, &serving) {
-            let estimate = estimate::at_upstream(room, request, 0);
-            shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
+            let estimate = estimate::at_upstream(room, &tokens);
+            shortlist.offer(position, weights.score_ms(&estimate), estimate);
         }
     }
     for cached in &request.cached {
         let Some(position) = view.position(&cached.holder) else { continue };
         let room = &view.upstreams[position];
         if may_use(room, request, &serving) {
-            let estimate = estimate::at_upstream(room, request, cached.tokens);
-            shortlist.offer(position, weights.score_ms(&estimate, request), estimate);
+            let tokens = RequestTokens::of(request, cached.tokens);
+            let estimate = estimate::at_upstream(room, &tokens);
+            shortlist.offer(position, weights.score_ms(&estimate), estimate);
         }
     }
     let chosen = shortlist.draw(draws)?;
@@ -145,7 +150,7 @@
     if request.forwarded {
         return None;
     }
-    let weights = Weights::of(profile);
+    let weights = Weights::of(profile, request);
     let rooms = view.data_centres.iter().filter(|room| {
         let reachable = room.upstreams > 0 && !room.hosts.is_empty();
         reachable && room.age_ms <= FRESH_NEWS_MS && !request.tried.contains(&room.data_centre)
@@ -154,8 +159,7 @@
         let cached = request.cached.iter().find(|cached| cached.holder == room.data_centre);
         let cached_tokens = cached.map_or(0, |cached| cached.tokens);
         let estimate = estimate::at_data_centre(room, request, cached_tokens);
-        let score_ms =
-            weights.score_ms(&estimate, request) + weights.away_cost_ms(room, &view.region);
+        let score_ms = weights.score_ms(&estimate) + weights.away_cost_ms(room, &view.region);
         Candidate { room, estimate, score_ms }
     });
     candidates.min_by(|one, other| one.score_ms.total_cmp(&other.score_ms))
@@ -166,23 +170,24 @@
     cost: f64,
     away: f64,
     gap_target_ms: f64,
+    late_tokens: f64,
 }
 
 impl Weights {
-    fn of(profile: &Profile) -> Self {
+    fn of(profile: &Profile, request: &RequestFacts) -> Self {
         let tail = f64::from(profile.weight_tail_milli.max(1));
         Self {
-            cost: f64::from(profile.weight_cost_milli) / tail,
+            cost: f64::from(profile.weight_cost_milli) / tail + RECOMPUTE_WEIGHT,
             away: f64::from(profile.weight_away_milli) / tail,
             gap_target_ms: f64::from(profile.between_tokens_target_ms),
+            late_tokens: request.answer_tokens.min(LATE_GAP_TOKENS) as f64,
         }
     }
 
     /// Weighs latency and computed tokens, in milliseconds of latency.
-    fn score_ms(&self, estimate: &Estimate, request: &RequestFacts) -> f64 {
+    fn score_ms(&self, estimate: &Estimate) -> f64 {
         let late_gap_ms = (estimate.gap_ms - self.gap_target_ms).max(0.0);
-        let late_ms = late_gap_ms * request.answer_tokens.min(LATE_GAP_TOKENS) as f64;
-        estimate.first_token_ms + late_ms + self.cost * estimate.prefill_ms
+        estimate.first_token_ms + late_gap_ms * self.late_tokens + self.cost * estimate.prefill_ms
     }
 
     fn away_cost_ms(&self, room: &DataCentreRoom, own_region: &Name) -> f64 {
--- a/crates/anvillift-routing/src/estimate.rs
+++ b/crates/anvillift-routing/src/estimate.rs
@@ -79,13 +79,37 @@
     }
 }
 
-/// Expectation at an upstream that has `cached_tokens` of the prompt.
-pub fn at_upstream(room: &UpstreamRoom, request: &RequestFacts, cached_tokens: u64) -> Estimate {
-    let Basis { wait_ms, slot_ms_per_answer_token, ms_per_token, gap_ms } =
-        room.basis.unwrap_or_else(|| Basis::of(room));
-    let computed_tokens = request.prompt_tokens.saturating_sub(cached_tokens);
-    let prefill_ms = computed_tokens as f64 * ms_per_token;
-    let wait_ms = wait_ms + slot_ms_per_answer_token * request.answer_tokens as f64;
+/// The tokens of a request, in the form that estimates need.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestTokens {
+    prompt_tokens: f64,
+    answer_tokens: f64,
+}
+
+impl RequestTokens {
+    /// The tokens of a request of which `cached_tokens` need no prefill.
+    pub fn of(request: &RequestFacts, cached_tokens: u64) -> Self {
+        Self {
+            prompt_tokens: request.prompt_tokens.saturating_sub(cached_tokens) as f64,
+            answer_tokens: request.answer_tokens as f64,
+        }
+    }
+}
+
+/// Expectation at an upstream.
+#[inline]
+pub fn at_upstream(room: &UpstreamRoom, tokens: &RequestTokens) -> Estimate {
+    let unprepared;
+    let basis = match &room.basis {
+        Some(basis) => basis,
+        None => {
+            unprepared = Basis::of(room);
+            &unprepared
+        }
+    };
+    let prefill_ms = tokens.prompt_tokens * basis.ms_per_token;
+    let wait_ms = basis.wait_ms + basis.slot_ms_per_answer_token * tokens.answer_tokens;
+    let gap_ms = basis.gap_ms;
     Estimate { wait_ms, first_token_ms: wait_ms + prefill_ms + gap_ms, gap_ms, prefill_ms }
 }
 
--- a/crates/anvillift-routing/src/prefix.rs
+++ b/crates/anvillift-routing/src/prefix.rs
@@ -178,8 +178,9 @@
         for depth in sampled_depths(blocks.len()).rev() {
             let block = blocks[depth - 1];
             let holdings = self.newer.of(block).iter().chain(self.older.of(block));
-            for holding in holdings.filter(|holding| self.is_valid(holding)) {
-                if found.iter().any(|cached| cached.holder == holding.holder) {
+            for holding in holdings {
+                let known = found.iter().any(|cached| cached.holder == holding.holder);
+                if known || !self.is_valid(holding) {
                     continue;
                 }
                 let holder = holding.holder.clone();
--- a/crates/anvillift-routing/src/shortlist.rs
+++ b/crates/anvillift-routing/src/shortlist.rs
@@ -33,15 +33,21 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Shortlist {
     best: [Option<Scored>; LENGTH],
+    /// Score of the last place, once all are taken.
+    worst_ms: Option<f64>,
 }
 
 impl Shortlist {
     /// Offers an upstream; a better score for a listed one replaces its old score.
+    #[inline]
     pub fn offer(&mut self, position: usize, score_ms: f64, estimate: Estimate) {
-        let worst = self.best[LENGTH - 1];
-        if worst.is_some_and(|worst| worst.score_ms <= score_ms) {
-            return;
+        // Most upstreams end here.
+        if self.worst_ms.is_none_or(|worst_ms| score_ms < worst_ms) {
+            self.insert(position, score_ms, estimate);
         }
+    }
+
+    fn insert(&mut self, position: usize, score_ms: f64, estimate: Estimate) {
         let listed = self.best.iter().flatten().find(|scored| scored.position == position);
         if let Some(listed) = listed {
             if listed.score_ms <= score_ms {
@@ -60,6 +66,7 @@
                 std::mem::swap(slot, &mut offered);
             }
         }
+        self.worst_ms = self.best[LENGTH - 1].map(|worst| worst.score_ms);
     }
 
     /// Draws two of the nearly best and gives the better.
--- a/crates/anvillift-routing/src/team_limit.rs
+++ b/crates/anvillift-routing/src/team_limit.rs
@@ -63,6 +63,40 @@
     used_ms: u64,
 }
 
+/// Hosts of a data centre that may own buckets.
+#[derive(Clone, Debug, Default)]
+pub struct Owners {
+    hosts: Vec<(Name, u64)>,
+}
+
+impl Owners {
+    /// The hosts of a data centre that are alive, the own included.
+    pub fn new(hosts: impl IntoIterator<Item = Name>) -> Self {
+        let hashed = |host: Name| {
+            let hash = hash(&host);
+            (host, hash)
+        };
+        Self { hosts: hosts.into_iter().map(hashed).collect() }
+    }
+
+    /// Number of hosts.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Whether there is no host.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Owner of a team's bucket: the host whose hash mixed with the team's is highest.
+    pub fn owner(&self, team: &Name) -> Option<&Name> {
+        let team = hash(team);
+        let highest = self.hosts.iter().max_by_key(|(_, host)| mix(team ^ host));
+        highest.map(|(host, _)| host)
+    }
+}
+
 /// The limits of all teams, as one host enforces them.
 #[derive(Clone, Debug, Default)]
 pub struct TeamLimiter {
@@ -84,14 +118,14 @@
 
     /// Counts a request of `tokens` against its team's limit.
     ///
-    /// `hosts` are the hosts of the data centre that are alive, the own included.
-    pub fn admit(&mut self, now_ms: u64, team: &Team, tokens: u64, hosts: &[Name]) -> TeamVerdict {
+    /// `owners` are the hosts of the data centre that are alive, the own included.
+    pub fn admit(&mut self, now_ms: u64, team: &Team, tokens: u64, owners: &Owners) -> TeamVerdict {
         let rate = BucketRate::of(team, 1);
         if rate.is_unlimited() {
             return TeamVerdict::Admitted;
         }
         self.forget_idle(now_ms);
-        let owner = owner(&team.name, hosts).unwrap_or_else(|| self.host.clone());
+        let owner = owners.owner(&team.name).unwrap_or(&self.host).clone();
         let own = owner == self.host;
         let state = self.teams.entry(team.name.clone()).or_default();
         state.used_ms = now_ms;
@@ -178,21 +212,6 @@
     }
 }
 
-/// Owner of a team's bucket: the host with the highest hash of team and host.
-pub fn owner(team: &Name, hosts: &[Name]) -> Option<Name> {
-    hosts.iter().max_by_key(|host| rendezvous_weight(team, host)).cloned()
-}
-
-fn rendezvous_weight(team: &Name, host: &Name) -> [u8; 8] {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(team.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(host.as_bytes());
-    let mut weight = [0; 8];
-    weight.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    weight
-}
-
 fn owned(state: &mut TeamState, now_ms: u64, rate: BucketRate) -> &mut TeamBucket {
     let bucket = state.owned.get_or_insert_with(|| TeamBucket::new(now_ms, rate));
     bucket.set_rate(now_ms, rate);
@@ -223,3 +242,16 @@
 fn limited_tokens(rate: &BucketRate, tokens: u64) -> u64 {
     tokens.min(rate.tokens_per_s * u64::from(rate.burst_s.max(1)))
 }
+
+fn hash(name: &Name) -> u64 {
+    let mut head = [0; 8];
+    head.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
+    u64::from_be_bytes(head)
+}
+
+/// Spreads each bit over all (the finalizer of SplitMix64).
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
--- a/crates/anvillift-routing/tests/limits.rs
+++ b/crates/anvillift-routing/tests/limits.rs
@@ -6,7 +6,7 @@
 use anvillift_routing::hedge::HedgeTimer;
 use anvillift_routing::request::RequestFacts;
 use anvillift_routing::retry_budget::{RetryBudget, RetryBudgetSettings};
-use anvillift_routing::team_limit::{self, LeaseResult, TeamLimiter, TeamVerdict};
+use anvillift_routing::team_limit::{LeaseResult, Owners, TeamLimiter, TeamVerdict};
 use anvillift_schema::code::Code;
 use anvillift_schema::configuration::{Profile, Team};
 use anvillift_schema::name::Name;
@@ -31,11 +31,12 @@
     silent: Option<&Name>,
 ) -> u64 {
     let hosts: Vec<Name> = limiters.keys().cloned().collect();
+    let owners = Owners::new(hosts.clone());
     let mut admitted = 0;
     for now_ms in 0..duration_ms {
         let asked: Vec<&Name> = hosts.iter().filter(|host| Some(*host) != silent).collect();
         let host = asked[now_ms as usize % asked.len()];
-        let verdict = limiters.get_mut(host).expect("known").admit(now_ms, team, 10, &hosts);
+        let verdict = limiters.get_mut(host).expect("known").admit(now_ms, team, 10, &owners);
         let verdict = match verdict {
             TeamVerdict::LeaseNeeded { owner, wanted } => {
                 let result = if Some(&owner) == silent {
@@ -75,7 +76,7 @@
 fn a_silent_owner_leaves_each_host_its_share() {
     let hosts = hosts(4);
     let team = team("growers", 40);
-    let owner = team_limit::owner(&team.name, &hosts).expect("hosts");
+    let owner = Owners::new(hosts.clone()).owner(&team.name).cloned().expect("hosts");
     let mut limiters = limiters(&hosts);
     let admitted = admitted_in(&mut limiters, &team, 60 * SECOND_MS, Some(&owner));
     let limit = 40 * 60;
@@ -86,12 +87,13 @@
 #[test]
 fn owners_spread_over_hosts_and_move_only_with_their_host() {
     let hosts = hosts(4);
-    let fewer = &hosts[..3];
+    let all = Owners::new(hosts.clone());
+    let fewer = Owners::new(hosts[..3].to_vec());
     let mut owned: BTreeMap<Name, u32> = BTreeMap::new();
     for n in 0..400 {
         let team = Name::from(format!("team-{n}"));
-        let before = team_limit::owner(&team, &hosts).expect("hosts");
-        let after = team_limit::owner(&team, fewer).expect("hosts");
+        let before = all.owner(&team).cloned().expect("hosts");
+        let after = fewer.owner(&team).cloned().expect("hosts");
         assert!(before == hosts[3] || before == after);
         *owned.entry(before).or_default() += 1;
     }
@@ -101,11 +103,11 @@
 #[test]
 fn idle_teams_are_forgotten() {
     let mut limiter = TeamLimiter::new(Name::from("host-0"));
-    let hosts = hosts(1);
+    let owners = Owners::new(hosts(1));
     for n in 0..1_000 {
-        limiter.admit(0, &team(&format!("team-{n}"), 5), 1, &hosts);
+        limiter.admit(0, &team(&format!("team-{n}"), 5), 1, &owners);
     }
-    limiter.admit(120 * SECOND_MS, &team("late", 5), 1, &hosts);
+    limiter.admit(120 * SECOND_MS, &team("late", 5), 1, &owners);
     assert_eq!(limiter.known_teams(), 1);
 }
 
