Count each caller's request against its team's limit

Cause: a request that carried any Anvillift-Hops header was taken for one that another host had counted, so a caller could name a hop and have no limit. Ruled out: refusing the header from callers (upstreams that call back carry it, and loops are seen by it). Change: requests that come by HTTP are always counted, those that come by a link never. Also: two tests of one attempt in a file of their own, and a parameter less in the round-robin baseline. Before: admission::a_flooding_team_gets_its_limit_over_all_hosts_of_a_data_centre, case with_hops_of_its_own, fails. After: it passes.

--- a/crates/anvillift-gateway/src/admission/mod.rs
+++ b/crates/anvillift-gateway/src/admission/mod.rs
@@ -50,14 +50,20 @@
     }
 }
 
-/// Admits a request, whose body has been read, or refuses it at once.
+/// Admits a caller's request, whose body has been read, or refuses it at once.
 pub(crate) async fn admit(
     gateway: &Arc<Gateway>,
     facts: &RequestFacts,
 ) -> Result<AdmissionGuard, Refusal> {
     let slot = slots::take(gateway, facts)?;
-    if !facts.forwarded {
-        teams::count(gateway, facts).await?;
-    }
+    teams::count(gateway, facts).await?;
     Ok(slot)
 }
+
+/// Admits a request that another host has counted against its team's limit.
+pub(crate) fn admit_counted(
+    gateway: &Arc<Gateway>,
+    facts: &RequestFacts,
+) -> Result<AdmissionGuard, Refusal> {
+    slots::take(gateway, facts)
+}
--- a/crates/anvillift-gateway/src/forward/incoming.rs
+++ b/crates/anvillift-gateway/src/forward/incoming.rs
@@ -55,7 +55,7 @@
         let facts = chat::parse(&request.body).map_err(|_| Code::MalformedRequest)?;
         request.chat = Some(facts);
     }
-    let admitted = admission::admit(gateway, &request.facts(gateway.now_ms())).await?;
+    let admitted = admission::admit_counted(gateway, &request.facts(gateway.now_ms()))?;
     let answer = if request.is_command() {
         commands::run(gateway, request).await
     } else {
--- /dev/null
+++ b/crates/anvillift-ledger/tests/attempt.rs
@@ -0,0 +1,48 @@
+//! One attempt, step by step.
+
+use anvillift_ledger::attempt::{Answer, Attempt, AttemptSettings, Step};
+use anvillift_schema::code::Code;
+use anvillift_schema::ledger::{LedgerOperation, LedgerVerdict};
+use anvillift_schema::name::Name;
+use anvillift_schema::public::Outcome;
+
+const DISPATCH_WITHIN_MS: u64 = 2_000;
+
+fn attempt(started_ms: u64) -> Attempt {
+    let settings = AttemptSettings {
+        key_hash: "k".to_owned(),
+        attempt: Name::from("a"),
+        holder: Name::from("h#1"),
+        dispatch_within_ms: DISPATCH_WITHIN_MS,
+        ..AttemptSettings::default()
+    };
+    Attempt::new(settings, started_ms)
+}
+
+#[test]
+fn a_host_woken_past_its_deadline_sends_nothing_and_says_so() {
+    let mut attempt = attempt(1_000);
+    let reserved = Ok(LedgerVerdict::Reserved(true));
+    assert_eq!(attempt.reserved(1_010, reserved, |_| false), Step::Send);
+    let Step::Finish { answer, settle } = attempt.check_deadline(1_001 + DISPATCH_WITHIN_MS) else {
+        panic!("sends past its deadline");
+    };
+    let refused = Answer::Refused { code: Code::DispatchTooLate, outcome: Outcome::NotRun };
+    assert_eq!(answer, refused);
+    assert!(matches!(settle, Some(LedgerOperation::Abandon { not_run: true, .. })));
+    assert_ne!(attempt.check_deadline(1_010), Step::Send);
+}
+
+#[test]
+fn a_silent_holder_makes_the_key_unknown_and_never_free() {
+    let mut attempt = attempt(0);
+    let other = LedgerVerdict::InProgress { attempt: Name::from("b"), holder: Name::from("g#1") };
+    let step = attempt.reserved(10, Ok(other), |holder| *holder == Name::from("g#1"));
+    let Step::Finish { answer, settle } = step else { panic!("sends") };
+    let refused = Answer::Refused { code: Code::CommandUnknown, outcome: Outcome::Unknown };
+    assert_eq!(answer, refused);
+    let Some(LedgerOperation::Abandon { attempt, not_run, .. }) = settle else {
+        panic!("does not settle")
+    };
+    assert_eq!((attempt, not_run), (Name::from("b"), false));
+}
--- a/crates/anvillift-routing/src/policy.rs
+++ b/crates/anvillift-routing/src/policy.rs
@@ -79,9 +79,9 @@
     };
     let local = local_positions(request, view);
     let choice = match policy {
-        Policy::RoundRobin => by_turn(view, &local, &far, turn),
+        Policy::RoundRobin => by_turn(&local, &far, turn),
         Policy::PrefixAffinity if !request.prefix_blocks.is_empty() => {
-            by_turn(view, &local, &far, request.prefix_blocks[0])
+            by_turn(&local, &far, request.prefix_blocks[0])
         }
         Policy::Anvillift
         | Policy::LeastOutstanding
@@ -115,16 +115,10 @@
 }
 
 /// Takes the upstream at `turn`, counting through the own ones, then each data centre's.
-fn by_turn<'a>(
-    view: &LoadView,
-    local: &[usize],
-    far: &[&'a DataCentreRoom],
-    turn: u64,
-) -> Option<Choice<'a>> {
+fn by_turn<'a>(local: &[usize], far: &[&'a DataCentreRoom], turn: u64) -> Option<Choice<'a>> {
     let far_upstreams: u64 = far.iter().map(|room| u64::from(room.upstreams)).sum();
     let total = local.len() as u64 + far_upstreams;
     let mut position = turn.checked_rem(total)?;
-    debug_assert!(local.len() <= view.upstreams.len());
     if let Some(own) = local.get(position as usize) {
         return Some(Choice::Local(*own));
     }
