--- /dev/null
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -0,0 +1,98 @@
+//! Which worker takes a request.
+//!
+//! Workers without trouble come first, warm ones before cold ones. Among those,
+//! a prompt with a long shared part goes where that part is likely to be kept:
+//! each part ranks the workers by a hash that all hosts compute alike, and the
+//! first of the ranking that isn't much busier than the others takes it.
+//! Everything else goes to the less loaded of the candidates.
+
+use anvillift_schema::name::Name;
+
+use crate::in_flight::InFlight;
+use crate::prompt::Prompt;
+
+/// Shared parts shorter than this are cheaper to read again than to follow, in tokens.
+const FOLLOWED_TOKENS: u64 = 1_000;
+/// Load above the least loaded candidate up to which a shared part is followed.
+const FOLLOWED_EXCESS: f64 = 0.25;
+/// Prompt tokens that weigh as much as a full batch.
+const BATCH_TOKENS: f64 = 60_000.0;
+
+/// How much a worker is to be avoided.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, derive_more::Display)]
+pub enum Trouble {
+    /// Not at all.
+    #[default]
+    #[display("none")]
+    None,
+    /// It failed often lately.
+    #[display("failing")]
+    Failing,
+    /// It doesn't answer.
+    #[display("silent")]
+    Silent,
+}
+
+/// A worker that may take a request.
+#[derive(Clone, Debug, Default)]
+pub struct Candidate {
+    /// Id of the worker.
+    pub worker: Name,
+    /// Work of this host that waits there.
+    pub work: InFlight,
+    /// Requests that it runs at once.
+    pub slots: u64,
+    /// Whether it is cold.
+    pub is_cold: bool,
+    /// How much it is to be avoided.
+    pub trouble: Trouble,
+}
+
+impl Candidate {
+    /// Load in batches.
+    pub fn load(&self) -> f64 {
+        let slots = self.slots.max(1) as f64;
+        self.work.requests as f64 / slots + self.work.unread_tokens as f64 / BATCH_TOKENS
+    }
+}
+
+/// The candidates in the order in which they are to be tried. `draw` breaks ties.
+pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
+    let rank = |candidate: &Candidate, key: u64| mix(key ^ hash(candidate.worker.as_bytes()));
+    candidates.sort_by(|left, right| {
+        let avoid = |candidate: &Candidate| (candidate.trouble, candidate.is_cold);
+        let load = left.load().total_cmp(&right.load());
+        let tie = rank(left, draw).cmp(&rank(right, draw));
+        avoid(left).cmp(&avoid(right)).then(load).then(tie)
+    });
+    if prompt.shared_tokens < FOLLOWED_TOKENS {
+        return;
+    }
+    let Some(first) = candidates.first() else { return };
+    let (trouble, is_cold, least) = (first.trouble, first.is_cold, first.load());
+    let alike = candidates
+        .iter()
+        .take_while(|other| other.trouble == trouble && other.is_cold == is_cold)
+        .count();
+    let free = candidates[..alike]
+        .iter()
+        .take_while(|other| other.load() <= least + FOLLOWED_EXCESS)
+        .count();
+    let follows = (0..free).max_by_key(|index| rank(&candidates[*index], prompt.shared_id));
+    if let Some(index) = follows {
+        candidates[..=index].rotate_right(1);
+    }
+}
+
+/// FNV-1a, which every host computes alike.
+fn hash(bytes: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// Spreads neighbouring values over the whole range.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/anvillift-fleet/src/directory.rs
@@ -0,0 +1,36 @@
+//! Which entry hosts a caller is told to use.
+//!
+//! A caller is sent to the hosts of its own region, since a request that starts
+//! elsewhere carries its body across. Another region's hosts are named only
+//! where the own one has none. Hosts that leave, start or have gone silent are
+//! never named beside one that is ready.
+
+use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
+
+use crate::host_table::HostTable;
+
+/// Most addresses in an answer.
+const MAX_ADDRESSES: usize = 64;
+
+/// The addresses for a caller in a region.
+pub fn addresses(hosts: &HostTable, now_ms: u64, region: &str) -> Vec<String> {
+    let own = |host: &FleetHost| host.region.as_str() == region;
+    let heard = hosts.heard_directly(now_ms);
+    let told: Vec<FleetHost> =
+        hosts.iter(now_ms).filter(|(_, alive)| *alive).map(|(host, _)| host.clone()).collect();
+    // What this host hears itself is surer than what it was told.
+    let choices =
+        [ready(&heard, own), ready(&told, own), ready(&heard, |_| true), ready(&told, |_| true)];
+    choices.into_iter().find(|addresses| !addresses.is_empty()).unwrap_or_default()
+}
+
+fn ready(hosts: &[FleetHost], wanted: impl Fn(&FleetHost) -> bool) -> Vec<String> {
+    let usable = |host: &&FleetHost| {
+        host.role == FleetHostRole::Entry
+            && host.state == FleetHostState::Ready
+            && !host.caller_address.is_empty()
+            && wanted(host)
+    };
+    let addresses = hosts.iter().filter(usable).map(|host| host.caller_address.clone());
+    addresses.take(MAX_ADDRESSES).collect()
+}
--- /dev/null
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -0,0 +1,46 @@
+//! What a fleet knows and decides, without sockets, files or clocks.
+//!
+//! A fleet is a gateway whose hosts learn of each other and of their workers
+//! while they run. The tables here merge what arrives out of order from several
+//! hosts ([`WorkerTable`], [`HostTable`]); [`ControlMachine`] is the state under
+//! the replicated log; [`choose`] and the modules beside it decide where a
+//! request goes, what may be sent again and which answer is true. Time is
+//! `now_ms` of a monotonic clock, given by the caller.
+
+pub mod choose;
+mod cold_share;
+mod configuration;
+mod configuration_error;
+mod control_machine;
+pub mod core_roster;
+pub mod directory;
+mod event_splitter;
+mod host_table;
+mod in_flight;
+mod prompt;
+mod repeat_kind;
+mod retry_share;
+mod route;
+mod route_table;
+mod service;
+pub mod verdict;
+mod window;
+mod worker_health;
+mod worker_table;
+
+pub use cold_share::ColdShare;
+pub use configuration::{CallerLimits, FleetConfiguration};
+pub use configuration_error::ConfigurationError;
+pub use control_machine::{ControlMachine, Outcome};
+pub use event_splitter::EventSplitter;
+pub use host_table::HostTable;
+pub use in_flight::InFlight;
+pub use prompt::Prompt;
+pub use repeat_kind::RepeatKind;
+pub use retry_share::{RetryShare, RetryShareSettings};
+pub use route::{Route, Target};
+pub use route_table::RouteTable;
+pub use service::{Engine, Service};
+pub use window::Window;
+pub use worker_health::{WorkerHealth, WorkerHealthSettings};
+pub use worker_table::{WorkerEntry, WorkerTable};
--- /dev/null
+++ b/crates/anvillift-fleet/src/worker_health.rs
@@ -0,0 +1,88 @@
+//! How a worker has behaved lately, as seen by this host.
+//!
+//! A worker may fail, shed or fall silent while it calls itself ready. Each
+//! outcome moves a score that decays with time; a worker with requests out and
+//! no sign of life counts as silent until a byte arrives from it.
+
+use crate::choose::Trouble;
+
+/// Settings of a [`WorkerHealth`].
+#[derive(Clone, Debug)]
+pub struct WorkerHealthSettings {
+    /// Time without a byte, with requests out, after which a worker is silent,
+    /// in milliseconds.
+    pub silent_after_ms: u64,
+    /// Score above which a worker is avoided.
+    pub avoid_above: f64,
+    /// Time in which a score halves, in milliseconds.
+    pub half_life_ms: f64,
+}
+
+impl Default for WorkerHealthSettings {
+    fn default() -> Self {
+        Self { silent_after_ms: 1_500, avoid_above: 1.5, half_life_ms: 2_000.0 }
+    }
+}
+
+/// Behaviour of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerHealth {
+    score: f64,
+    scored_ms: u64,
+    heard_ms: u64,
+    waiting_since_ms: Option<u64>,
+    waiting: u32,
+}
+
+impl WorkerHealth {
+    /// A request was sent.
+    pub fn sent(&mut self, now_ms: u64) {
+        self.waiting += 1;
+        self.waiting_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Bytes arrived.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+        if self.waiting > 0 {
+            self.waiting_since_ms = Some(now_ms);
+        }
+    }
+
+    /// A request ended, whatever came of it.
+    pub fn ended(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+        if self.waiting == 0 {
+            self.waiting_since_ms = None;
+        }
+    }
+
+    /// A request was answered well.
+    pub fn succeeded(&mut self, now_ms: u64, settings: &WorkerHealthSettings) {
+        self.decay(now_ms, settings);
+        self.score *= 0.7;
+    }
+
+    /// A request failed, was shed or never answered.
+    pub fn failed(&mut self, now_ms: u64, settings: &WorkerHealthSettings) {
+        self.decay(now_ms, settings);
+        self.score += 1.0;
+    }
+
+    /// How much the worker is to be avoided.
+    pub fn trouble(&self, now_ms: u64, settings: &WorkerHealthSettings) -> Trouble {
+        let quiet_ms = self.waiting_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+        if quiet_ms > settings.silent_after_ms {
+            return Trouble::Silent;
+        }
+        let age_ms = now_ms.saturating_sub(self.scored_ms) as f64;
+        let score = self.score * 0.5_f64.powf(age_ms / settings.half_life_ms);
+        if score > settings.avoid_above { Trouble::Failing } else { Trouble::None }
+    }
+
+    fn decay(&mut self, now_ms: u64, settings: &WorkerHealthSettings) {
+        let age_ms = now_ms.saturating_sub(self.scored_ms) as f64;
+        self.score *= 0.5_f64.powf(age_ms / settings.half_life_ms);
+        self.scored_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -0,0 +1,144 @@
+//! The workers of a fleet.
+//!
+//! Reports reach a host through several others, late, twice or in another
+//! order. For each worker the newest report counts, by start and sequence; a
+//! worker that has left stays away until it starts again, and an address
+//! belongs to the worker that started last.
+
+use std::collections::BTreeMap;
+
+use anvillift_schema::fleet::{FleetWorker, FleetWorkerState};
+use anvillift_schema::name::Name;
+
+/// Time after which a worker that isn't heard is forgotten, in milliseconds.
+const FORGET_AFTER_MS: u64 = 120_000;
+
+/// A worker as this host knows it.
+#[derive(Clone, Debug)]
+pub struct WorkerEntry {
+    /// Its newest report.
+    pub report: FleetWorker,
+    /// When that arrived.
+    pub heard_ms: u64,
+    /// Until when it is cold.
+    pub cold_until_ms: u64,
+}
+
+impl WorkerEntry {
+    /// Whether it takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.report.state == FleetWorkerState::Ready
+    }
+}
+
+/// The workers by id.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerTable {
+    workers: BTreeMap<Name, WorkerEntry>,
+    by_address: BTreeMap<String, Name>,
+}
+
+impl WorkerTable {
+    /// Takes a report; whether it says anything that bears on decisions.
+    pub fn merge(&mut self, now_ms: u64, report: FleetWorker) -> bool {
+        let known = self.workers.get(&report.id);
+        if known.is_some_and(|known| !supersedes(&report, &known.report)) {
+            return false;
+        }
+        if !self.takes_address(&report) {
+            return false;
+        }
+        let known = self.workers.get(&report.id);
+        let matters = known.is_none_or(|known| differs(&report, known, now_ms));
+        let entry =
+            WorkerEntry { cold_until_ms: now_ms + report.cold_ms, heard_ms: now_ms, report };
+        self.workers.insert(entry.report.id.clone(), entry);
+        matters
+    }
+
+    /// Marks ready workers silent that haven't been heard since a time; gives
+    /// their records.
+    pub fn expire(&mut self, now_ms: u64, silent_after_ms: u64) -> Vec<FleetWorker> {
+        let silent = |entry: &&mut WorkerEntry| {
+            let state = entry.report.state;
+            matches!(state, FleetWorkerState::Ready | FleetWorkerState::Draining)
+                && entry.heard_ms + silent_after_ms < now_ms
+        };
+        let expired: Vec<FleetWorker> = self
+            .workers
+            .values_mut()
+            .filter(silent)
+            .map(|entry| {
+                entry.report.state = FleetWorkerState::Silent;
+                entry.report.clone()
+            })
+            .collect();
+        self.workers.retain(|_, entry| entry.heard_ms + FORGET_AFTER_MS >= now_ms);
+        let workers = &self.workers;
+        self.by_address.retain(|_, id| workers.contains_key(id));
+        expired
+    }
+
+    /// A worker by its id.
+    pub fn get(&self, id: &str) -> Option<&WorkerEntry> {
+        self.workers.get(id)
+    }
+
+    /// The worker that an address belongs to.
+    pub fn at_address(&self, address: &str) -> Option<&WorkerEntry> {
+        self.by_address.get(address).and_then(|id| self.workers.get(id))
+    }
+
+    /// Every worker.
+    pub fn iter(&self) -> impl Iterator<Item = &WorkerEntry> {
+        self.workers.values()
+    }
+
+    /// The workers of a service that take new work.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a WorkerEntry> + 'a {
+        let serves = move |entry: &&WorkerEntry| {
+            entry.is_ready() && entry.report.service.as_str() == service
+        };
+        self.workers.values().filter(serves)
+    }
+
+    /// Gives the address to the worker that started last; whether that is the
+    /// one of the report.
+    fn takes_address(&mut self, report: &FleetWorker) -> bool {
+        if let Some(holder) = self.by_address.get(&report.address)
+            && *holder != report.id
+            && let Some(entry) = self.workers.get_mut(holder)
+        {
+            if entry.report.born_ms > report.born_ms {
+                return false;
+            }
+            entry.report.state = FleetWorkerState::Left;
+        }
+        self.by_address.insert(report.address.clone(), report.id.clone());
+        true
+    }
+}
+
+fn supersedes(report: &FleetWorker, known: &FleetWorker) -> bool {
+    if report.born_ms != known.born_ms {
+        return report.born_ms > known.born_ms;
+    }
+    match (report.state, known.state) {
+        (_, FleetWorkerState::Left) => false,
+        (FleetWorkerState::Left, _) => true,
+        // Silence is the receiver's finding about a report, not a newer one.
+        (FleetWorkerState::Silent, _) => report.sequence >= known.sequence,
+        (FleetWorkerState::Ready, FleetWorkerState::Draining) => false,
+        _ => report.sequence > known.sequence,
+    }
+}
+
+fn differs(report: &FleetWorker, known: &WorkerEntry, now_ms: u64) -> bool {
+    let old = &known.report;
+    let was_cold = known.cold_until_ms > now_ms;
+    old.state != report.state
+        || old.born_ms != report.born_ms
+        || old.address != report.address
+        || old.service != report.service
+        || (report.cold_ms > 0) != was_cold
+}
--- /dev/null
+++ b/crates/anvillift-http/src/parse.rs
@@ -0,0 +1,99 @@
+//! Parsing of heads.
+
+use bytes::{Buf, Bytes, BytesMut};
+use snafu::ResultExt;
+
+use crate::error::{HeadTooLargeSnafu, HttpError, MalformedSnafu};
+use crate::head::{RequestHead, ResponseHead};
+use crate::headers::Headers;
+
+/// Most header fields of one head.
+const MAX_FIELDS: usize = 128;
+
+/// Takes the head of a request from the buffer once it is whole.
+pub(crate) fn request(
+    buffer: &mut BytesMut,
+    limit_bytes: usize,
+) -> Result<Option<RequestHead>, HttpError> {
+    skip_empty_lines(buffer);
+    if !holds_head(buffer, limit_bytes)? {
+        return Ok(None);
+    }
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Request::new(&mut fields);
+    let httparse::Status::Complete(length) = parsed.parse(buffer).context(MalformedSnafu)? else {
+        return Ok(None);
+    };
+    let head = RequestHead {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        target: parsed.path.unwrap_or_default().to_owned(),
+        minor_version: parsed.version.unwrap_or(1),
+        headers: headers(parsed.headers),
+    };
+    buffer.advance(length);
+    check_size(length, limit_bytes)?;
+    Ok(Some(head))
+}
+
+/// Takes the head of a response from the buffer once it is whole.
+pub(crate) fn response(
+    buffer: &mut BytesMut,
+    limit_bytes: usize,
+) -> Result<Option<ResponseHead>, HttpError> {
+    if !holds_head(buffer, limit_bytes)? {
+        check_status_line(buffer)?;
+        return Ok(None);
+    }
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let httparse::Status::Complete(length) = parsed.parse(buffer).context(MalformedSnafu)? else {
+        return Ok(None);
+    };
+    let head = ResponseHead {
+        status: parsed.code.unwrap_or_default(),
+        reason: parsed.reason.unwrap_or_default().to_owned(),
+        minor_version: parsed.version.unwrap_or(1),
+        headers: headers(parsed.headers),
+    };
+    buffer.advance(length);
+    check_size(length, limit_bytes)?;
+    Ok(Some(head))
+}
+
+fn headers(fields: &[httparse::Header<'_>]) -> Headers {
+    let mut headers = Headers::default();
+    for field in fields {
+        let name = Bytes::copy_from_slice(field.name.as_bytes());
+        headers.push(name, Bytes::copy_from_slice(field.value));
+    }
+    headers
+}
+
+/// Bytes that can't begin a response are told at once, since the end of a head
+/// might never come.
+fn check_status_line(buffer: &[u8]) -> Result<(), HttpError> {
+    let mut fields = [];
+    match httparse::Response::new(&mut fields).parse(buffer) {
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Ok(()),
+        Err(source) => Err(HttpError::Malformed { source }),
+    }
+}
+
+fn holds_head(buffer: &[u8], limit_bytes: usize) -> Result<bool, HttpError> {
+    let whole = buffer.windows(4).any(|window| window == b"\r\n\r\n")
+        || buffer.windows(2).any(|window| window == b"\n\n");
+    if !whole {
+        check_size(buffer.len(), limit_bytes)?;
+    }
+    Ok(whole)
+}
+
+fn check_size(length: usize, limit_bytes: usize) -> Result<(), HttpError> {
+    if length > limit_bytes { HeadTooLargeSnafu { limit_bytes }.fail() } else { Ok(()) }
+}
+
+fn skip_empty_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/core/calls.rs
@@ -0,0 +1,147 @@
+//! Calls to the control plane and the directory.
+
+use std::time::Duration;
+
+use anvillift_fleet::directory;
+use anvillift_http::RequestHead;
+use anvillift_replication::ProposeError;
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{EvacuateDataCentre, FleetCommand, ReplaceConfiguration};
+use tokio::time;
+
+use crate::clock;
+use crate::core::Core;
+use crate::dialect::{CallError, ControlCall};
+use crate::respond::Reply;
+
+/// Longest time for which an operator's call waits for the log.
+const LOG_WITHIN: Duration = Duration::from_millis(2_000);
+/// When to come back while there is no leader, in milliseconds.
+const NO_LEADER_RETRY_MS: u64 = 300;
+
+impl Core {
+    /// Answers a call.
+    pub(super) async fn answer(&self, head: &RequestHead, body: &[u8]) -> Reply {
+        let started_ms = clock::now_ms();
+        let call = match (self.node.dialect.decode_call)(head, body) {
+            Ok(call) => call,
+            Err(error) => return self.refuse(head, &error),
+        };
+        let named = name(&call);
+        let mut reply = self.perform(call, head, body).await;
+        reply.closes |= self.node.is_leaving();
+        let took_ms = clock::now_ms() - started_ms;
+        metrics::histogram!("anvillift_call_ms", "call" => named).record(took_ms as f64);
+        log::info!(
+            event = Event::RequestServed.number(), call = named, status = reply.status,
+            target = head.target.as_str(), took_ms = took_ms,
+            version = self.node.known.borrow().control.version;
+            "call answered"
+        );
+        reply
+    }
+
+    async fn perform(&self, call: ControlCall, head: &RequestHead, body: &[u8]) -> Reply {
+        match call {
+            ControlCall::Report(report) => {
+                self.on_report(report).await;
+                Reply::new(200, b"{}".to_vec())
+            }
+            ControlCall::Leave { worker } => {
+                self.on_leave(&worker).await;
+                Reply::new(200, b"{}".to_vec())
+            }
+            ControlCall::Replace { version } => {
+                if version <= self.log.state().version {
+                    return Reply::new(200, b"{}".to_vec());
+                }
+                let document = body.to_vec().into();
+                let replace = ReplaceConfiguration { version, document };
+                self.commit(head, FleetCommand::Replace(replace)).await
+            }
+            ControlCall::Evacuate { data_centre, active } => {
+                let evacuate = EvacuateDataCentre { data_centre, active };
+                self.commit(head, FleetCommand::Evacuate(evacuate)).await
+            }
+            ControlCall::Read => self.read(head).await,
+            ControlCall::Resolve { region } => self.resolve(&region),
+            ControlCall::Readiness if self.node.is_leaving() => self.unavailable("leaving"),
+            ControlCall::Readiness => Reply::new(200, b"{}".to_vec()),
+        }
+    }
+
+    async fn commit(&self, head: &RequestHead, command: FleetCommand) -> Reply {
+        match time::timeout(LOG_WITHIN, self.log.propose(&command)).await {
+            Ok(Ok(())) => Reply::new(200, b"{}".to_vec()),
+            Ok(Err(error)) => self.elsewhere(head, &error),
+            Err(_) => {
+                self.unavailable("the log did not answer in time; the change may be in force")
+            }
+        }
+    }
+
+    async fn read(&self, head: &RequestHead) -> Reply {
+        match time::timeout(LOG_WITHIN, self.log.read_barrier()).await {
+            Ok(Ok(_)) => {
+                let state = self.log.state();
+                if state.version == 0 {
+                    return self.unavailable("there is no configuration yet");
+                }
+                Reply::new(200, state.document.to_vec())
+            }
+            Ok(Err(error)) => self.elsewhere(head, &error),
+            Err(_) => self.unavailable("the newest configuration is not known here"),
+        }
+    }
+
+    /// Sends the caller to the leader, if there is one.
+    fn elsewhere(&self, head: &RequestHead, error: &ProposeError) -> Reply {
+        let ProposeError::NotLeader { leader } = error else {
+            return self.unavailable(&error.to_string());
+        };
+        let known = self.node.known.borrow();
+        let address = known.hosts.get(leader).map(|host| host.operator_address.clone());
+        let Some(address) = address.filter(|address| !address.is_empty()) else {
+            return self.unavailable("the leader's address is not known");
+        };
+        let mut reply = Reply::new(307, b"{}".to_vec());
+        reply.headers.push("Location", format!("http://{address}{}", head.target));
+        reply
+    }
+
+    fn resolve(&self, region: &str) -> Reply {
+        let addresses =
+            directory::addresses(&self.node.known.borrow().hosts, clock::now_ms(), region);
+        if addresses.is_empty() {
+            return self.unavailable("no entry host is ready");
+        }
+        let ttl_s = self.node.settings.directory_ttl_s;
+        Reply::new(200, (self.node.dialect.encode_addresses)(&addresses, ttl_s))
+    }
+
+    fn unavailable(&self, reason: &str) -> Reply {
+        let body = (self.node.dialect.encode_error)(reason);
+        Reply::new(503, body).retry_after_ms(NO_LEADER_RETRY_MS)
+    }
+
+    fn refuse(&self, head: &RequestHead, error: &CallError) -> Reply {
+        let status = if *error == CallError::Unknown { 404 } else { 400 };
+        log::info!(
+            event = Event::RequestRefused.number(), status = status, target = head.target.as_str();
+            "call refused: {error}"
+        );
+        Reply::new(status, (self.node.dialect.encode_error)(&error.to_string()))
+    }
+}
+
+fn name(call: &ControlCall) -> &'static str {
+    match call {
+        ControlCall::Report(_) => "report",
+        ControlCall::Leave { .. } => "leave",
+        ControlCall::Replace { .. } => "replace",
+        ControlCall::Read => "read",
+        ControlCall::Evacuate { .. } => "evacuate",
+        ControlCall::Resolve { .. } => "resolve",
+        ControlCall::Readiness => "readiness",
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -0,0 +1,114 @@
+//! What a core host tells the others.
+
+use anvillift_fleet::core_roster;
+use anvillift_fleet::core_roster::RosterChange;
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{FleetFrame, FleetHostRole, FleetHosts};
+use anvillift_schema::name::Name;
+
+use crate::clock;
+use crate::core::Core;
+
+/// Turns of housekeeping between two lists of hosts to the other cores.
+const TELL_CORES_TURNS: u64 = 8;
+/// Time after its start from which a core without a leader shows what it
+/// holds, in milliseconds.
+const SHOW_ALONE_AFTER_MS: u64 = 3_000;
+
+impl Core {
+    /// Frames for a host whose link has come up.
+    pub(super) fn on_link_up(&self, _name: &Name) -> Vec<FleetFrame> {
+        let known = self.node.known.borrow();
+        let mut frames = vec![self.hosts_frame()];
+        if known.control.index > 0 {
+            frames.push(FleetFrame::Control(known.control.clone()));
+        }
+        frames.extend(known.workers.iter().map(|entry| FleetFrame::Worker(entry.report.clone())));
+        frames
+    }
+
+    fn hosts_frame(&self) -> FleetFrame {
+        let known = self.node.known.borrow();
+        let mut hosts = known.hosts.heard_directly(clock::now_ms());
+        hosts.push(self.node.me());
+        FleetFrame::Hosts(FleetHosts { hosts })
+    }
+
+    /// Tells every link which hosts this one hears.
+    pub(super) fn tell_hosts(&self) {
+        if let Some(hub) = self.node.hub() {
+            hub.send_all(&self.hosts_frame());
+        }
+    }
+
+    /// Tells the other cores from time to time.
+    pub(super) fn gossip(&self, turns: u64) {
+        if !turns.is_multiple_of(TELL_CORES_TURNS) {
+            return;
+        }
+        let frame = self.hosts_frame();
+        for name in self.linked(FleetHostRole::Core) {
+            if let Some(hub) = self.node.hub() {
+                hub.send(&name, frame.clone());
+            }
+        }
+        self.node.known.borrow_mut().hosts.forget(clock::now_ms());
+    }
+
+    /// Hosts of a role that have a link.
+    pub(super) fn linked(&self, role: FleetHostRole) -> Vec<Name> {
+        let Some(hub) = self.node.hub() else { return Vec::new() };
+        let known = self.node.known.borrow();
+        let mut names = hub.connected();
+        names.retain(|name| known.hosts.get(name).is_some_and(|host| host.role == role));
+        names
+    }
+
+    /// Puts each committed state in force here and tells the entry hosts. A
+    /// host that has just started shows nothing before it has caught up with
+    /// the leader, unless it has been without one for a while.
+    pub(super) async fn publish_control(&self) {
+        let started_ms = clock::now_ms();
+        let mut changes = self.log.changes();
+        let mut turn = tokio::time::interval(super::HOUSEKEEPING);
+        loop {
+            tokio::select! {
+                changed = changes.changed() => if changed.is_err() { return },
+                _ = turn.tick() => (),
+            }
+            let alone = clock::now_ms() >= started_ms + SHOW_ALONE_AFTER_MS;
+            if self.log.status().leader.is_none() && !self.log.leads() && !alone {
+                continue;
+            }
+            let state = self.log.state();
+            if self.node.adopt_control(state.clone()) {
+                for name in self.linked(FleetHostRole::Entry) {
+                    if let Some(hub) = self.node.hub() {
+                        hub.send(&name, FleetFrame::Control(state.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Makes the next change of the voters, if this host leads.
+    pub(super) async fn change_voters(&self) {
+        if !self.log.leads() || self.node.is_leaving() {
+            return;
+        }
+        let voters = self.log.status().voters;
+        let now_ms = clock::now_ms();
+        let change = core_roster::next_change(&self.node.known.borrow().hosts, now_ms, &voters);
+        let (replica, changed) = match &change {
+            None => return,
+            Some(RosterChange::Add(replica)) => (replica, self.log.add(replica.clone()).await),
+            Some(RosterChange::Remove(replica)) => (replica, self.log.remove(replica).await),
+        };
+        let outcome = changed.map_or_else(|error| error.to_string(), |()| "begun".to_owned());
+        log::info!(
+            event = Event::ChangeAccepted.number(), replica = replica.host.as_str(),
+            storage = replica.storage_id.as_str(), voters = voters.voters.len(), outcome = outcome;
+            "change of the voters: {change:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -0,0 +1,172 @@
+//! The attempts of a request, one after the other.
+
+use std::collections::BTreeSet;
+
+use anvillift_fleet::verdict;
+use anvillift_fleet::verdict::{AttemptEnd, Final, RequestState, Step};
+use anvillift_http::Connection;
+use anvillift_schema::event::Event;
+use anvillift_schema::name::Name;
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::attempt::{Answer, Exchange};
+use crate::entry::final_answer::GivenUp;
+use crate::entry::front::Next;
+use crate::entry::request::Request;
+use crate::entry::target::Target;
+
+/// The attempts made so far.
+#[derive(Default)]
+pub(crate) struct Attempts {
+    /// Workers and hosts that were tried.
+    pub(crate) tried: BTreeSet<Name>,
+    /// Attempts made.
+    pub(crate) sent: u32,
+    /// Workers that may have run the request.
+    pub(crate) ran: u32,
+}
+
+impl Attempts {
+    pub(crate) fn state(&self, request: &Request) -> RequestState {
+        RequestState {
+            kind: request.route.kind,
+            ran: self.ran,
+            attempts: request.route.attempts,
+            sent: self.sent,
+            left_ms: request.left_ms(),
+        }
+    }
+}
+
+impl Entry {
+    /// Serves a request by attempts until one is answered or none is left.
+    pub(crate) async fn forward(
+        &self,
+        caller: &mut Connection,
+        request: &Request,
+        keeps: bool,
+    ) -> Next {
+        let mut attempts = Attempts::default();
+        loop {
+            let Some(target) = self.next_target(request, &attempts.tried) else {
+                let end = if attempts.ran > 0 { Final::Unknown } else { Final::Refused };
+                return self.end(caller, request, &attempts, end, keeps).await;
+            };
+            attempts.sent += 1;
+            attempts.tried.insert(target.name.clone());
+            let began_ms = clock::now_ms();
+            self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
+            let exchange = self.attempt(caller, request, &target, None).await;
+            let now_ms = clock::now_ms();
+            match exchange {
+                Exchange::CallerLeft => {
+                    self.load.borrow_mut().end(now_ms, &target.name, None);
+                    log_attempt(request, &target, began_ms, "caller_left", "");
+                    return Next::Close;
+                }
+                Exchange::Answered(answer) => {
+                    attempts.ran += 1;
+                    self.load.borrow_mut().answered(now_ms, &target.name, &request.prompt);
+                    if !self.tries_again_after(request, &attempts, &answer) {
+                        log_attempt(request, &target, began_ms, "answered", "");
+                        return self.relay(caller, request, target, *answer, attempts, keeps).await;
+                    }
+                    log_attempt(request, &target, began_ms, "failed", "");
+                    self.load.borrow_mut().end(now_ms, &target.name, Some(true));
+                    drain(*answer).await;
+                }
+                Exchange::Ended(end, reason) => {
+                    attempts.ran +=
+                        u32::from(end == AttemptEnd::Broken || end == AttemptEnd::TimedOut);
+                    self.load.borrow_mut().end(now_ms, &target.name, Some(false));
+                    log_attempt(request, &target, began_ms, &end.to_string(), &reason);
+                    if let Some(end) = self.after(request, &attempts, end) {
+                        return self.end(caller, request, &attempts, end, keeps).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// How a request ends after an attempt, unless another one follows.
+    pub(crate) fn after(
+        &self,
+        request: &Request,
+        attempts: &Attempts,
+        end: AttemptEnd,
+    ) -> Option<Final> {
+        match verdict::step(end, &attempts.state(request)) {
+            Step::TryAnother => None,
+            Step::End(end) => Some(end),
+            Step::RetryElse(end) => (!self.may_retry(request)).then_some(end),
+        }
+    }
+
+    fn may_retry(&self, request: &Request) -> bool {
+        let hosts = self.node.known.borrow().hosts.entries_known();
+        self.load.borrow_mut().retries.spend(clock::now_ms(), &request.service, hosts)
+    }
+
+    /// Whether the worker's own failure is better answered by another worker.
+    fn tries_again_after(&self, request: &Request, attempts: &Attempts, answer: &Answer) -> bool {
+        if answer.head.status < 500 {
+            return false;
+        }
+        let another = self.next_target(request, &attempts.tried).is_some();
+        another && self.after(request, attempts, AttemptEnd::Failed).is_none()
+    }
+
+    /// Gives a request its final answer.
+    async fn end(
+        &self,
+        caller: &Connection,
+        request: &Request,
+        attempts: &Attempts,
+        end: Final,
+        keeps: bool,
+    ) -> Next {
+        let given_up = GivenUp::of(end);
+        log::info!(
+            event = Event::RequestRefused.number(), id = request.id.as_str(),
+            route = request.route.name.as_str(), service = request.service.as_str(),
+            code = given_up.code, status = given_up.status, sent = attempts.sent,
+            ran = attempts.ran, age_ms = request.age_ms(), version = request.version,
+            origin = request.origin.to_string();
+            "given up: {}", given_up.reason
+        );
+        let reply = self.give_up(given_up, request.origin);
+        self.reply(caller, reply, keeps).await
+    }
+}
+
+/// Reads the rest of an answer that is not passed on, so that its connection
+/// can be used again.
+async fn drain(answer: Answer) {
+    const DRAINED_BYTES: u64 = 64 * 1024;
+    const DRAIN_WITHIN: std::time::Duration = std::time::Duration::from_millis(20);
+    let Answer { mut lease, head, mut body, answered_early, .. } = answer;
+    let Ok(connection) = lease.connection() else { return };
+    let read = connection.read_whole(&mut body, DRAINED_BYTES);
+    let whole = matches!(tokio::time::timeout(DRAIN_WITHIN, read).await, Ok(Ok(_)));
+    if whole && !answered_early {
+        lease.release(&head);
+    }
+}
+
+pub(crate) fn log_attempt(
+    request: &Request,
+    target: &Target,
+    began_ms: u64,
+    outcome: &str,
+    reason: &str,
+) {
+    let now_ms = clock::now_ms();
+    log::info!(
+        event = Event::RequestServed.number(), id = request.id.as_str(),
+        route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason,
+        outcome = outcome, reason = reason, waited_ms = now_ms - began_ms,
+        age_ms = request.age_ms(), left_ms = request.left_ms(), version = request.version;
+        "attempt"
+    );
+}
--- /dev/null
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -0,0 +1,178 @@
+//! Connections of callers, and of hosts that pass requests on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvillift_http::{BodyReader, Connection, Framing, HttpError, RequestHead};
+use anvillift_schema::event::Event;
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::{task, time};
+
+use crate::entry::Entry;
+use crate::respond::Reply;
+use crate::{clock, listen};
+
+/// Time beyond the idle limit for which a connection is kept, in milliseconds.
+const IDLE_MARGIN_MS: u64 = 3_000;
+/// Longest time for a body, in milliseconds.
+const BODY_WITHIN_MS: u64 = 10_000;
+
+/// Who sends requests over a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
+pub(crate) enum Origin {
+    /// A caller.
+    #[display("caller")]
+    Caller,
+    /// Another entry host.
+    #[display("host")]
+    Host,
+}
+
+/// What becomes of a connection after a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Next {
+    /// It may carry another request.
+    Keep,
+    /// It ends.
+    Close,
+}
+
+/// Serves the connections of a listener.
+pub(crate) fn serve(entry: &Rc<Entry>, listener: TcpListener, origin: Origin) {
+    let entry = Rc::clone(entry);
+    task::spawn_local(async move {
+        loop {
+            let stream = listen::accept(&listener).await;
+            let entry = Rc::clone(&entry);
+            task::spawn_local(async move {
+                let mut connection = Connection::new(stream);
+                while entry.serve_next(&mut connection, origin).await == Next::Keep {}
+            });
+        }
+    });
+}
+
+impl Entry {
+    /// Serves the next request of a connection.
+    async fn serve_next(&self, connection: &mut Connection, origin: Origin) -> Next {
+        let limits = self.node.known.borrow().configuration.as_ref().map(|known| known.limits);
+        let limits = limits.unwrap_or_default();
+        if !connection.has_buffered() {
+            let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
+            match time::timeout(idle, connection.fill()).await {
+                Ok(Ok(read)) if read > 0 => (),
+                _ => return Next::Close,
+            }
+        }
+        let within = Duration::from_millis(limits.header_timeout_ms);
+        let read = connection.read_request(limits.header_bytes);
+        let head = match time::timeout(within, read).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(error)) => return self.refuse_head(connection, &error).await,
+            Err(_) => return self.refuse(connection, 408, "4310 the head took too long").await,
+        };
+        let arrived_ms = clock::now_ms();
+        let body = match self.read_body(connection, &head, limits.body_bytes).await {
+            Ok(body) => body,
+            Err(next) => return next,
+        };
+        self.in_service.set(self.in_service.get() + 1);
+        let next = self.serve_request(connection, head, body, origin, arrived_ms).await;
+        self.in_service.set(self.in_service.get() - 1);
+        next
+    }
+
+    async fn serve_request(
+        &self,
+        connection: &mut Connection,
+        head: RequestHead,
+        body: Option<Bytes>,
+        origin: Origin,
+        arrived_ms: u64,
+    ) -> Next {
+        let keeps = head.keeps_alive();
+        let id_field = self.node.dialect.headers.request_id;
+        let id = head.headers.get(id_field).unwrap_or("-").to_owned();
+        let target = head.target.clone();
+        let request = match self.admit(head, body, origin, arrived_ms) {
+            Ok(request) => request,
+            Err(given_up) => {
+                log::info!(
+                    event = Event::RequestRefused.number(), id = id, target = target,
+                    code = given_up.code, status = given_up.status,
+                    version = self.node.known.borrow().control.version, origin = origin.to_string();
+                    "refused: {}", given_up.reason
+                );
+                let reply = self.give_up(given_up, origin);
+                return self.reply(connection, reply, keeps).await;
+            }
+        };
+        if origin == Origin::Caller {
+            let mut load = self.load.borrow_mut();
+            load.retries.earn(arrived_ms, &request.service);
+        }
+        self.forward(connection, &request, keeps).await
+    }
+
+    /// Reads the body of a request, if it has one.
+    async fn read_body(
+        &self,
+        connection: &mut Connection,
+        head: &RequestHead,
+        limit_bytes: u64,
+    ) -> Result<Option<Bytes>, Next> {
+        let framing = match Framing::of_request(head) {
+            Ok(Framing::None) => return Ok(None),
+            Ok(framing) => framing,
+            Err(error) => return Err(self.refuse_head(connection, &error).await),
+        };
+        if matches!(framing, Framing::Length(bytes) if bytes > limit_bytes) {
+            return Err(self.refuse(connection, 413, "4311 the body is too large").await);
+        }
+        if head.headers.has_token("expect", "100-continue")
+            && connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
+        {
+            return Err(Next::Close);
+        }
+        let mut reader = BodyReader::new(framing);
+        let read = connection.read_whole(&mut reader, limit_bytes);
+        match time::timeout(Duration::from_millis(BODY_WITHIN_MS), read).await {
+            Ok(Ok(body)) => Ok(Some(body)),
+            Ok(Err(error)) => Err(self.refuse_head(connection, &error).await),
+            Err(_) => Err(self.refuse(connection, 408, "4312 the body took too long").await),
+        }
+    }
+
+    async fn refuse_head(&self, connection: &Connection, error: &HttpError) -> Next {
+        let status = match error {
+            HttpError::Closed | HttpError::Incomplete | HttpError::Io { .. } => return Next::Close,
+            HttpError::HeadTooLarge { .. } => 431,
+            HttpError::BodyTooLarge { .. } => 413,
+            _ => 400,
+        };
+        self.refuse(connection, status, &format!("4313 {error}")).await
+    }
+
+    /// Refuses what can't be read, and ends the connection.
+    async fn refuse(&self, connection: &Connection, status: u16, reason: &str) -> Next {
+        log::info!(
+            event = Event::RequestRefused.number(), status = status;
+            "unreadable: {reason}"
+        );
+        let reply = Reply::new(status, (self.node.dialect.encode_error)(reason));
+        self.reply(connection, reply, false).await
+    }
+
+    /// Writes an answer of this host.
+    pub(crate) async fn reply(&self, connection: &Connection, reply: Reply, keeps: bool) -> Next {
+        let keeps = keeps && !self.node.is_leaving();
+        let reply = if keeps { reply } else { reply.closing() };
+        metrics::counter!("anvillift_own_answers_total", "status" => reply.status.to_string())
+            .increment(1);
+        match reply.write(connection).await {
+            Ok(()) if keeps => Next::Keep,
+            _ => Next::Close,
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/entry/load.rs
@@ -0,0 +1,85 @@
+//! What this host has sent and how it went.
+
+use std::collections::BTreeMap;
+
+use anvillift_fleet::choose::Trouble;
+use anvillift_fleet::{
+    ColdShare, InFlight, Prompt, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
+};
+use anvillift_schema::name::Name;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock;
+
+/// What this host has sent and how it went.
+pub(crate) struct Load {
+    pub(crate) cold: ColdShare,
+    pub(crate) retries: RetryShare,
+    pub(crate) rng: SmallRng,
+    work: BTreeMap<Name, InFlight>,
+    health: BTreeMap<Name, WorkerHealth>,
+    health_settings: WorkerHealthSettings,
+}
+
+impl Load {
+    pub(crate) fn new(retries: RetryShareSettings) -> Self {
+        Self {
+            cold: ColdShare::default(),
+            retries: RetryShare::new(retries),
+            rng: SmallRng::seed_from_u64(clock::start_number()),
+            work: BTreeMap::new(),
+            health: BTreeMap::new(),
+            health_settings: WorkerHealthSettings::default(),
+        }
+    }
+
+    /// Work of this host that waits at a worker.
+    pub(crate) fn work(&self, worker: &str) -> InFlight {
+        self.work.get(worker).copied().unwrap_or_default()
+    }
+
+    /// How much a worker is to be avoided.
+    pub(crate) fn trouble(&self, now_ms: u64, worker: &str) -> Trouble {
+        let health = self.health.get(worker);
+        health.map_or(Trouble::None, |health| health.trouble(now_ms, &self.health_settings))
+    }
+
+    /// A request is sent.
+    pub(crate) fn begin(&mut self, now_ms: u64, worker: &Name, prompt: &Prompt) {
+        InFlight::begin(&mut self.work, worker, prompt);
+        self.health.entry(worker.clone()).or_default().sent(now_ms);
+    }
+
+    /// Bytes arrived from a worker.
+    pub(crate) fn heard(&mut self, now_ms: u64, worker: &Name) {
+        if let Some(health) = self.health.get_mut(worker) {
+            health.heard(now_ms);
+        }
+    }
+
+    /// The first bytes of an answer arrived.
+    pub(crate) fn answered(&mut self, now_ms: u64, worker: &Name, prompt: &Prompt) {
+        InFlight::answered(&mut self.work, worker, prompt);
+        self.heard(now_ms, worker);
+    }
+
+    /// A request has ended, well or not, or without a finding about the worker.
+    pub(crate) fn end(&mut self, now_ms: u64, worker: &Name, good: Option<bool>) {
+        InFlight::end(&mut self.work, worker);
+        let health = self.health.entry(worker.clone()).or_default();
+        health.ended();
+        match good {
+            Some(true) => health.succeeded(now_ms, &self.health_settings),
+            Some(false) => health.failed(now_ms, &self.health_settings),
+            None => (),
+        }
+    }
+
+    /// A worker could not be reached.
+    pub(crate) fn unreachable(&mut self, now_ms: u64, worker: &Name) {
+        let health = self.health.entry(worker.clone()).or_default();
+        health.failed(now_ms, &self.health_settings);
+        health.failed(now_ms, &self.health_settings);
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -0,0 +1,199 @@
+//! An entry host: callers' requests and where they go.
+//!
+//! A connection of a caller, or of another entry host that passes a request
+//! on, is served by [`front`]; [`admit`] turns a head into a request that may
+//! be served; [`forward`] makes the attempts that [`target`] chooses, and
+//! [`relay`] passes the answer on. Everything that decides stands in
+//! `anvillift-fleet`.
+
+mod admit;
+mod attempt;
+mod final_answer;
+mod forward;
+mod front;
+mod load;
+mod pool;
+mod relay;
+mod request;
+mod resume;
+mod target;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvillift_http::RequestHead;
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{FleetFrame, FleetHostState, FleetWorkerState};
+use anvillift_schema::name::Name;
+use bytes::Bytes;
+use tokio::{task, time};
+
+use crate::core::seen;
+use crate::dialect::{ControlCall, Dialect};
+use crate::entry::load::Load;
+use crate::entry::pool::Pool;
+use crate::error::NodeError;
+use crate::hub::{Hub, HubHooks};
+use crate::node::Node;
+use crate::respond::Reply;
+use crate::serve_calls::ReplyFuture;
+use crate::settings::NodeSettings;
+use crate::{clock, listen, serve_calls};
+
+/// Between checks of what time alone changes.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Shortest stay after the planned stop has begun: callers use what the
+/// directory told them for a while.
+const STAY_AT_LEAST_MS: u64 = 4_000;
+/// Kept of the grace for the process to end by itself, in milliseconds.
+const END_BEFORE_GRACE_MS: u64 = 900;
+/// Between looks at whether everything has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// An entry host.
+pub(crate) struct Entry {
+    pub(crate) node: Rc<Node>,
+    pub(crate) load: RefCell<Load>,
+    pub(crate) pool: Rc<Pool>,
+    /// Requests that are being served.
+    pub(crate) in_service: Cell<u64>,
+    /// When the planned stop began.
+    pub(crate) leaving_since_ms: Cell<Option<u64>>,
+}
+
+impl Entry {
+    /// Starts the host's tasks.
+    pub(crate) fn start(settings: NodeSettings, dialect: Dialect) -> Result<Rc<Self>, NodeError> {
+        let node = Node::new(settings, dialect, Name::default());
+        let load = RefCell::new(Load::new(node.settings.retries.clone()));
+        let entry = Rc::new(Self {
+            node,
+            load,
+            pool: Pool::new(),
+            in_service: Cell::new(0),
+            leaving_since_ms: Cell::new(None),
+        });
+        entry.listen()?;
+        entry.node.dial_cores();
+        let keeper = Rc::clone(&entry);
+        task::spawn_local(async move { keeper.keep_house().await });
+        Ok(entry)
+    }
+
+    fn listen(self: &Rc<Self>) -> Result<(), NodeError> {
+        let settings = &self.node.settings;
+        let links = listen::listen(settings.link_address())?;
+        if let Some(address) = settings.caller_address {
+            front::serve(self, listen::listen(address)?, front::Origin::Caller);
+        }
+        let forwards = listen::listen(settings.forward_address())?;
+        front::serve(self, forwards, front::Origin::Host);
+        if let Some(address) = settings.ready_address {
+            let entry = Rc::clone(self);
+            let answer = move |head: RequestHead, body: Bytes| -> ReplyFuture {
+                let reply = entry.readiness(&head, &body);
+                Box::pin(async move { reply })
+            };
+            serve_calls::serve(listen::listen(address)?, Rc::new(answer));
+        }
+        let on_frame = Rc::downgrade(self);
+        let describe = Rc::clone(&self.node);
+        let hub = Hub::new(HubHooks {
+            on_frame: Box::new(move |from, frame| {
+                if let Some(entry) = on_frame.upgrade() {
+                    entry.on_frame(from, frame);
+                }
+            }),
+            on_up: Box::new(|_| Vec::new()),
+            describe: Box::new(move || describe.me()),
+        });
+        hub.take_links(links);
+        self.node.set_hub(hub);
+        Ok(())
+    }
+
+    fn readiness(&self, head: &RequestHead, body: &[u8]) -> Reply {
+        match (self.node.dialect.decode_call)(head, body) {
+            Ok(ControlCall::Readiness) if self.is_ready() => Reply::new(200, b"{}".to_vec()),
+            Ok(ControlCall::Readiness) => Reply::new(503, b"{}".to_vec()),
+            _ => Reply::new(404, b"{}".to_vec()),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.node.is_leaving() && self.node.known.borrow().configuration.is_some()
+    }
+
+    fn on_frame(&self, from: &Name, frame: FleetFrame) {
+        match frame {
+            FleetFrame::Hello(host) => {
+                self.node.learn_host(host, true);
+            }
+            FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
+            FleetFrame::Control(control) => {
+                if self.node.adopt_control(control) && self.is_ready() {
+                    self.node.set_state(FleetHostState::Ready);
+                }
+            }
+            FleetFrame::Worker(report) => self.on_worker(from, report),
+            FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
+                self.node.known.borrow_mut().hosts.heard(clock::now_ms(), from);
+            }
+            FleetFrame::Consensus(_) | FleetFrame::WorkerSeen(_) => (),
+        }
+    }
+
+    fn on_worker(&self, from: &Name, report: anvillift_schema::fleet::FleetWorker) {
+        let ends = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
+        let confirmation = seen(&report);
+        let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
+        let matters = self.node.known.borrow_mut().workers.merge(clock::now_ms(), report);
+        if matters {
+            log::info!(
+                event = Event::UpstreamFound.number(), worker = id.as_str(), sequence = sequence,
+                from = from.as_str();
+                "worker is {state}"
+            );
+        }
+        if ends && let Some(hub) = self.node.hub() {
+            hub.send(from, confirmation);
+        }
+    }
+
+    async fn keep_house(self: Rc<Self>) {
+        let mut turn = time::interval(HOUSEKEEPING);
+        loop {
+            turn.tick().await;
+            let now_ms = clock::now_ms();
+            self.node.dial_cores();
+            self.pool.prune(now_ms);
+            let mut known = self.node.known.borrow_mut();
+            let me = self.node.me();
+            known.hosts.heard(now_ms, &me.name);
+            known.hosts.forget(now_ms);
+            metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
+        }
+    }
+
+    /// Leaves: out of the directory at once, and out of the process when what
+    /// is under way has ended.
+    pub(crate) async fn stop(&self) {
+        let began_ms = clock::now_ms();
+        self.leaving_since_ms.set(Some(began_ms));
+        self.node.leave();
+        log::info!(
+            event = Event::HostDraining.number(), in_service = self.in_service.get();
+            "the planned stop has begun"
+        );
+        let end_ms = began_ms + self.node.settings.grace_ms.saturating_sub(END_BEFORE_GRACE_MS);
+        loop {
+            time::sleep(LOOK).await;
+            let now_ms = clock::now_ms();
+            let stayed = now_ms >= began_ms + STAY_AT_LEAST_MS;
+            if now_ms >= end_ms || (stayed && self.in_service.get() == 0) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -0,0 +1,157 @@
+//! Where an attempt goes.
+//!
+//! A worker of the own region comes first. Where there is none without trouble,
+//! an entry host of another region that may hold the data takes the request,
+//! once; it chooses among its own workers only.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use anvillift_fleet::choose;
+use anvillift_fleet::choose::{Candidate, Trouble};
+use anvillift_schema::fleet::FleetHost;
+use anvillift_schema::name::Name;
+use rand::Rng;
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::front::Origin;
+use crate::entry::request::Request;
+use crate::node::Known;
+
+/// Part of a cold worker's rate that is used.
+const COLD_USE: f64 = 0.9;
+/// Connections to one other host.
+const HOST_CONNECTIONS: usize = 256;
+
+/// Where an attempt goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    /// Id of the worker, or name of the host.
+    pub(crate) name: Name,
+    /// Address.
+    pub(crate) address: SocketAddr,
+    /// Whether it is another host.
+    pub(crate) is_host: bool,
+    /// Connections that this host may have there.
+    pub(crate) connection_limit: usize,
+    /// How the choice was made, for the log.
+    pub(crate) reason: &'static str,
+}
+
+impl Entry {
+    /// The next target of a request, other than those tried.
+    pub(crate) fn next_target(&self, request: &Request, tried: &BTreeSet<Name>) -> Option<Target> {
+        let known = self.node.known.borrow();
+        let home = request.route.allows_region(&self.node.settings.region);
+        let mut candidates =
+            if home { self.candidates(&known, request, tried) } else { Vec::new() };
+        let draw = self.load.borrow_mut().rng.random();
+        choose::order(&mut candidates, &request.prompt, draw);
+        let sound = candidates.iter().filter(|other| other.trouble == Trouble::None);
+        if let Some(target) = self.first_allowed(&known, request, sound, "local") {
+            return Some(target);
+        }
+        if request.origin == Origin::Caller
+            && let Some(target) = self.remote(&known, request, tried)
+        {
+            return Some(target);
+        }
+        let troubled = candidates.iter().filter(|other| {
+            other.trouble == Trouble::Failing
+                || (other.trouble == Trouble::Silent && request.route.kind.may_repeat())
+        });
+        self.first_allowed(&known, request, troubled, "troubled")
+    }
+
+    fn candidates(
+        &self,
+        known: &Known,
+        request: &Request,
+        tried: &BTreeSet<Name>,
+    ) -> Vec<Candidate> {
+        let now_ms = clock::now_ms();
+        let load = self.load.borrow();
+        let region = &self.node.settings.region;
+        let usable = known.workers.ready(&request.service).filter(|entry| {
+            let report = &entry.report;
+            !tried.contains(&report.id)
+                && self.node.settings.region_of(&report.data_centre) == Some(region)
+                && !known.control.evacuated.contains(&report.data_centre)
+        });
+        let candidate = |entry: &anvillift_fleet::WorkerEntry| Candidate {
+            worker: entry.report.id.clone(),
+            work: load.work(&entry.report.id),
+            slots: entry.report.slots,
+            is_cold: entry.cold_until_ms > now_ms,
+            trouble: load.trouble(now_ms, &entry.report.id),
+        };
+        usable.map(candidate).collect()
+    }
+
+    fn first_allowed<'a>(
+        &self,
+        known: &Known,
+        request: &Request,
+        candidates: impl Iterator<Item = &'a Candidate>,
+        reason: &'static str,
+    ) -> Option<Target> {
+        let now_ms = clock::now_ms();
+        let configuration = known.configuration.as_ref()?;
+        let service = configuration.services.get(&request.service)?;
+        let settings = &self.node.settings;
+        let hosts = known.hosts.entries_known_in(&settings.region).max(1);
+        let cold_per_s = service.cold_per_s * settings.cold_factor + settings.cold_extra;
+        let mut allowed = candidates.filter(|candidate| {
+            !candidate.is_cold
+                || service.cold_per_s <= 0.0
+                || self.load.borrow_mut().cold.take(
+                    now_ms,
+                    &candidate.worker,
+                    cold_per_s * COLD_USE,
+                    hosts,
+                )
+        });
+        let chosen = allowed.next()?;
+        let address = known.workers.get(&chosen.worker)?.report.address.parse().ok()?;
+        let share = service.connection_limit as usize / (hosts + 1);
+        Some(Target {
+            name: chosen.worker.clone(),
+            address,
+            is_host: false,
+            connection_limit: share.max(2),
+            reason,
+        })
+    }
+
+    /// An entry host of another region with workers of the service.
+    fn remote(&self, known: &Known, request: &Request, tried: &BTreeSet<Name>) -> Option<Target> {
+        let now_ms = clock::now_ms();
+        let settings = &self.node.settings;
+        let serves: BTreeSet<&Name> = known
+            .workers
+            .ready(&request.service)
+            .filter(|entry| !known.control.evacuated.contains(&entry.report.data_centre))
+            .filter_map(|entry| settings.region_of(&entry.report.data_centre))
+            .filter(|region| **region != settings.region && request.route.allows_region(region))
+            .collect();
+        let mut load = self.load.borrow_mut();
+        let hosts: Vec<&FleetHost> = serves
+            .into_iter()
+            .flat_map(|region| known.hosts.ready_entries_in(now_ms, region))
+            .filter(|host| !tried.contains(&host.name))
+            .filter(|host| load.trouble(now_ms, &host.name) == Trouble::None)
+            .collect();
+        if hosts.is_empty() {
+            return None;
+        }
+        let host = hosts[load.rng.random_range(0..hosts.len())];
+        Some(Target {
+            name: host.name.clone(),
+            address: host.forward_address.parse().ok()?,
+            is_host: true,
+            connection_limit: HOST_CONNECTIONS,
+            reason: "remote",
+        })
+    }
+}
--- /dev/null
+++ b/crates/anvillift-node/src/run.rs
@@ -0,0 +1,108 @@
+//! Runs a process until it is told to stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvillift_schema::event::Event;
+use snafu::ResultExt;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::{task, time};
+
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::entry::Entry;
+use crate::error::{NodeError, SetUpSnafu};
+use crate::node::Node;
+use crate::respond::Reply;
+use crate::serve_calls::ReplyFuture;
+use crate::settings::{HostRole, NodeSettings};
+use crate::{listen, recorder, serve_calls};
+
+/// Between two looks at the settings, which may change without a signal.
+const LOOK_AT_SETTINGS: Duration = Duration::from_secs(2);
+
+/// Reads the settings again.
+type LoadSettings = Box<dyn Fn() -> Result<NodeSettings, NodeError>>;
+
+/// Runs a process until SIGTERM; `load` gives the settings, also later.
+pub fn run(load: LoadSettings, dialect: Dialect) -> Result<(), NodeError> {
+    let settings = load()?;
+    recorder::install();
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(SetUpSnafu)?;
+    let tasks = task::LocalSet::new();
+    tasks.block_on(&runtime, serve(settings, load, dialect))
+}
+
+enum Process {
+    Entry(Rc<Entry>),
+    Core(Rc<Core>),
+}
+
+impl Process {
+    fn node(&self) -> &Rc<Node> {
+        match self {
+            Self::Entry(entry) => &entry.node,
+            Self::Core(core) => &core.node,
+        }
+    }
+
+    async fn stop(&self) {
+        match self {
+            Self::Entry(entry) => entry.stop().await,
+            Self::Core(core) => core.stop().await,
+        }
+    }
+}
+
+async fn serve(
+    settings: NodeSettings,
+    load: LoadSettings,
+    dialect: Dialect,
+) -> Result<(), NodeError> {
+    let mut terminate = signal(SignalKind::terminate()).context(SetUpSnafu)?;
+    let mut hang_up = signal(SignalKind::hangup()).context(SetUpSnafu)?;
+    serve_metrics(&settings)?;
+    let mut current = settings.clone();
+    let role = settings.role;
+    let process = match role {
+        HostRole::Entry => Process::Entry(Entry::start(settings, dialect)?),
+        HostRole::Core => Process::Core(Core::start(settings, dialect)?),
+    };
+    log::info!(
+        event = Event::HostStarted.number(), machine = current.machine.as_str(),
+        boot = process.node().me().boot;
+        "started as {role}"
+    );
+    let mut look = time::interval(LOOK_AT_SETTINGS);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => (),
+            _ = look.tick() => (),
+        }
+        match load() {
+            Ok(loaded) if loaded != current => {
+                log::info!(event = Event::HostReady.number(); "the settings have changed");
+                process.node().reload(&loaded);
+                current = loaded;
+            }
+            Ok(_) => (),
+            Err(error) => {
+                log::error!(event = Event::SettingsRefused.number(); "the settings stay as they were: {error}");
+            }
+        }
+    }
+    process.stop().await;
+    log::info!(event = Event::HostStopped.number(); "stopped");
+    Ok(())
+}
+
+fn serve_metrics(settings: &NodeSettings) -> Result<(), NodeError> {
+    let address = (settings.machine_ip, settings.metrics_port).into();
+    let answer = |_, _| -> ReplyFuture {
+        Box::pin(async { Reply::new(200, recorder::render().into_bytes()) })
+    };
+    serve_calls::serve(listen::listen(address)?, Rc::new(answer));
+    Ok(())
+}
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -11,6 +11,7 @@
 use anvillift_schema::consensus::SnapshotMeta;
 use anvillift_schema::event::Event;
 use anvillift_storage::{RecoveredGroup, Repair, StorageError};
+use rustix::time::ClockId;
 use tokio::sync::{oneshot, watch};
 
 use crate::error::ProposeError;
@@ -37,7 +38,6 @@
     inputs: Receiver<Input>,
     queued: Arc<AtomicUsize>,
     status: watch::Sender<GroupStatus>,
-    epoch: Instant,
     tick_due: Instant,
     snapshot_entries: u64,
     snapshot_index: u64,
@@ -68,7 +68,6 @@
             inputs,
             queued: Arc::clone(&queued),
             status,
-            epoch: Instant::now(),
             tick_due: Instant::now(),
             snapshot_entries: settings.snapshot_entries,
             snapshot_index,
@@ -255,9 +254,11 @@
         });
     }
 
-    /// Milliseconds of the monotonic clock, which runs on while the process is stopped.
+    /// Milliseconds of a clock that runs on while the process or the machine
+    /// is suspended, so that a lease that ran out meanwhile is seen to be over.
     fn now_ms(&self) -> u64 {
-        self.epoch.elapsed().as_millis() as u64
+        let now = rustix::time::clock_gettime(ClockId::Boottime);
+        Duration::new(now.tv_sec as u64, now.tv_nsec as u32).as_millis() as u64
     }
 }
 
--- a/crates/anvillift-schema/src/lib.rs
+++ b/crates/anvillift-schema/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod payload;
 
 pub use generated::{
-    burn, configuration, consensus, ledger, link, membership, operators, public, settings, upstream,
+    burn, configuration, consensus, fleet, ledger, link, membership, operators, public, settings,
+    upstream,
 };
--- a/crates/anvillift-telemetry/src/logging/mod.rs
+++ b/crates/anvillift-telemetry/src/logging/mod.rs
@@ -3,6 +3,7 @@
 //! Records of the `log` crate pass through `fern`, which filters them by level
 //! and writes each as one [`LogLine`], in text or JSON. Start at [`log_init`].
 
+mod bounded;
 mod line;
 
 use std::fs::OpenOptions;
@@ -14,6 +15,7 @@
 use log::LevelFilter;
 use snafu::ResultExt;
 
+pub use bounded::BoundedOutput;
 pub use line::LogLine;
 
 /// Why logging could not be set up.
@@ -27,6 +29,12 @@
         /// Cause.
         source: io::Error,
     },
+    /// The thread that writes lines can't be started.
+    #[snafu(display("the log has no thread: {source}"))]
+    Thread {
+        /// Cause.
+        source: io::Error,
+    },
     /// Another logger is in place.
     #[snafu(display("logging was set up before"))]
     SetTwice {
@@ -47,6 +55,15 @@
     dispatch(settings, output).apply().context(SetTwiceSnafu)
 }
 
+/// Sends log records as JSON lines to standard output without ever blocking;
+/// gives the output, to be drained before the process ends.
+pub fn log_to_stdout() -> Result<BoundedOutput, LogError> {
+    let output = BoundedOutput::start(io::stdout()).context(ThreadSnafu)?;
+    let settings = LogSettings { format: LogSettingsFormat::Json, ..LogSettings::default() };
+    dispatch(&settings, Box::new(output.clone())).apply().context(SetTwiceSnafu)?;
+    Ok(output)
+}
+
 /// A logger that writes lines to `output`.
 pub fn dispatch(settings: &LogSettings, output: Box<dyn Write + Send>) -> Dispatch {
     let json = settings.format == LogSettingsFormat::Json;
