Draw distinct election timeouts, and bound what a forwarded request and a cold worker get

Change: seeds from name and start; one run where a request was passed on; workers of a data centre whose evacuation ends, and workers that can't be reached, count as cold until two reports later. Each has a test that failed before.

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -10,6 +10,7 @@
 
 use crate::in_flight::InFlight;
 use crate::prompt::Prompt;
+use crate::seed;
 
 /// Shared parts shorter than this are cheaper to read again than to follow, in tokens.
 const FOLLOWED_TOKENS: u64 = 1_000;
@@ -58,7 +59,8 @@
 
 /// The candidates in the order in which they are to be tried. `draw` breaks ties.
 pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
-    let rank = |candidate: &Candidate, key: u64| mix(key ^ hash(candidate.worker.as_bytes()));
+    let rank =
+        |candidate: &Candidate, key: u64| seed::mix(key ^ seed::hash(candidate.worker.as_bytes()));
     candidates.sort_by(|left, right| {
         let avoid = |candidate: &Candidate| (candidate.trouble, candidate.is_cold);
         let load = left.load().total_cmp(&right.load());
@@ -83,16 +85,3 @@
         candidates[..=index].rotate_right(1);
     }
 }
-
-/// FNV-1a, which every host computes alike.
-fn hash(bytes: &[u8]) -> u64 {
-    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, step)
-}
-
-/// Spreads neighbouring values over the whole range.
-fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod retry_share;
 mod route;
 mod route_table;
+pub mod seed;
 mod service;
 pub mod verdict;
 mod window;
--- a/crates/anvillift-fleet/src/verdict.rs
+++ b/crates/anvillift-fleet/src/verdict.rs
@@ -75,6 +75,12 @@
 /// Time that another attempt needs at least, in milliseconds.
 const ATTEMPT_MS: u64 = 30;
 
+/// How many workers may run a request here. A request that another host passes
+/// on runs once at most: that host counts the attempts of its route.
+pub fn attempts_here(route_attempts: u32, is_passed_on: bool) -> u32 {
+    if is_passed_on { 1 } else { route_attempts }
+}
+
 /// What follows from the end of an attempt.
 pub fn step(end: AttemptEnd, request: &RequestState) -> Step {
     let has_run = request.ran > 0;
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -13,6 +13,12 @@
 /// Time after which a worker that isn't heard is forgotten, in milliseconds.
 const FORGET_AFTER_MS: u64 = 120_000;
 
+/// Reports that must follow before a worker that may have turned cold unseen
+/// counts as warm; one may have been on its way.
+const DOUBTED_REPORTS: u64 = 2;
+/// Longest time for which a worker counts as cold on doubt, in milliseconds.
+const DOUBT_MS: u64 = 6_000;
+
 /// A worker as this host knows it.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -22,6 +28,8 @@
     pub heard_ms: u64,
     /// Until when it is cold.
     pub cold_until_ms: u64,
+    /// First report that tells whether it is still cold, where that is in doubt.
+    settled_by_sequence: Option<u64>,
 }
 
 impl WorkerEntry {
@@ -29,6 +37,17 @@
     pub fn is_ready(&self) -> bool {
         self.report.state == FleetWorkerState::Ready
     }
+
+    fn doubt(&mut self, now_ms: u64) {
+        self.settled_by_sequence = Some(self.report.sequence + DOUBTED_REPORTS);
+        self.cold_until_ms = self.cold_until_ms.max(now_ms + DOUBT_MS);
+    }
+
+    /// Whether a report leaves it open if the worker is cold.
+    fn doubts(&self, report: &FleetWorker) -> bool {
+        let settled = self.settled_by_sequence.is_none_or(|sequence| report.sequence >= sequence);
+        !settled && report.born_ms == self.report.born_ms && report.cold_ms == 0
+    }
 }
 
 /// The workers by id.
@@ -50,12 +69,36 @@
         }
         let known = self.workers.get(&report.id);
         let matters = known.is_none_or(|known| differs(&report, known, now_ms));
-        let entry =
-            WorkerEntry { cold_until_ms: now_ms + report.cold_ms, heard_ms: now_ms, report };
+        let doubted = known.filter(|known| known.doubts(&report));
+        let settled_by_sequence = doubted.and_then(|known| known.settled_by_sequence);
+        let doubted_until_ms = doubted.map_or(0, |known| known.cold_until_ms);
+        let entry = WorkerEntry {
+            cold_until_ms: (now_ms + report.cold_ms).max(doubted_until_ms),
+            heard_ms: now_ms,
+            settled_by_sequence,
+            report,
+        };
         self.workers.insert(entry.report.id.clone(), entry);
         matters
     }
 
+    /// Counts the workers of a data centre as cold until they say otherwise:
+    /// what had no work for a while may have turned cold since its last report.
+    pub fn doubt_data_centre(&mut self, now_ms: u64, data_centre: &str) {
+        let there = |entry: &&mut WorkerEntry| entry.report.data_centre.as_str() == data_centre;
+        for entry in self.workers.values_mut().filter(there) {
+            entry.doubt(now_ms);
+        }
+    }
+
+    /// Counts a worker as cold until it says otherwise, as one that could not
+    /// be reached and may have started again.
+    pub fn doubt(&mut self, now_ms: u64, id: &str) {
+        if let Some(entry) = self.workers.get_mut(id) {
+            entry.doubt(now_ms);
+        }
+    }
+
     /// Marks ready workers silent that haven't been heard since a time; gives
     /// their records.
     pub fn expire(&mut self, now_ms: u64, silent_after_ms: u64) -> Vec<FleetWorker> {
@@ -135,10 +178,11 @@
 
 fn differs(report: &FleetWorker, known: &WorkerEntry, now_ms: u64) -> bool {
     let old = &known.report;
-    let was_cold = known.cold_until_ms > now_ms;
+    let was_cold = known.cold_until_ms > now_ms && !known.doubts(report);
     old.state != report.state
         || old.born_ms != report.born_ms
         || old.address != report.address
         || old.service != report.service
+        || known.settled_by_sequence.is_some() && !known.doubts(report)
         || (report.cold_ms > 0) != was_cold
 }
--- /dev/null
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the fleet's tables and decisions.
+
+mod seed;
+mod verdict;
+mod workers;
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anvillift_consensus::RoleKind;
-use anvillift_fleet::ControlMachine;
+use anvillift_fleet::{ControlMachine, seed};
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupStatus, GroupTiming,
     OpenedGroup, ProposeError, ReplaceError,
@@ -20,7 +20,6 @@
 use tokio::sync::{mpsc, watch};
 use tokio::{task, time};
 
-use crate::clock;
 use crate::error::{NodeError, StorageSnafu};
 use crate::hub::Hub;
 use crate::node::Node;
@@ -185,8 +184,9 @@
         let group = Name::from(GROUP);
         let opened = self.folder.open_group(&group, Io::default()).context(StorageSnafu)?;
         let (storage, recovered) = opened;
+        let me = self.node.me();
         let identity =
-            Voter { host: self.node.me().name, storage_id: self.folder.storage_id().clone() };
+            Voter { host: me.name.clone(), storage_id: self.folder.storage_id().clone() };
         let settings = GroupDriverSettings {
             group,
             identity,
@@ -194,7 +194,7 @@
             storage: Some(OpenedGroup { storage, recovered }),
             timing: TIMING,
             snapshot_entries: SNAPSHOT_ENTRIES,
-            seed: clock::start_number(),
+            seed: seed::of_host(&me.name, me.boot),
             ..GroupDriverSettings::default()
         };
         let outgoing = outgoing.clone();
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -79,7 +79,9 @@
             Ok(lease) => lease,
             Err(error) => {
                 if let AcquireError::Unreachable { .. } = &error {
-                    self.load.borrow_mut().unreachable(clock::now_ms(), &target.name);
+                    let now_ms = clock::now_ms();
+                    self.load.borrow_mut().unreachable(now_ms, &target.name);
+                    self.node.known.borrow_mut().workers.doubt(now_ms, &target.name);
                 }
                 return Exchange::Ended(AttemptEnd::NotSent, error.to_string());
             }
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -12,7 +12,7 @@
 use crate::entry::Entry;
 use crate::entry::attempt::{Answer, Exchange};
 use crate::entry::final_answer::GivenUp;
-use crate::entry::front::Next;
+use crate::entry::front::{Next, Origin};
 use crate::entry::request::Request;
 use crate::entry::target::Target;
 
@@ -29,10 +29,11 @@
 
 impl Attempts {
     pub(crate) fn state(&self, request: &Request) -> RequestState {
+        let is_passed_on = request.origin == Origin::Host;
         RequestState {
             kind: request.route.kind,
             ran: self.ran,
-            attempts: request.route.attempts,
+            attempts: verdict::attempts_here(request.route.attempts, is_passed_on),
             sent: self.sent,
             left_ms: request.left_ms(),
         }
--- a/crates/anvillift-node/src/entry/load.rs
+++ b/crates/anvillift-node/src/entry/load.rs
@@ -10,8 +10,6 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::clock;
-
 /// What this host has sent and how it went.
 pub(crate) struct Load {
     pub(crate) cold: ColdShare,
@@ -23,11 +21,11 @@
 }
 
 impl Load {
-    pub(crate) fn new(retries: RetryShareSettings) -> Self {
+    pub(crate) fn new(retries: RetryShareSettings, seed: u64) -> Self {
         Self {
             cold: ColdShare::default(),
             retries: RetryShare::new(retries),
-            rng: SmallRng::seed_from_u64(clock::start_number()),
+            rng: SmallRng::seed_from_u64(seed),
             work: BTreeMap::new(),
             health: BTreeMap::new(),
             health_settings: WorkerHealthSettings::default(),
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -22,6 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use anvillift_fleet::seed;
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetHostState, FleetWorkerState};
@@ -66,7 +67,9 @@
     /// Starts the host's tasks.
     pub(crate) fn start(settings: NodeSettings, dialect: Dialect) -> Result<Rc<Self>, NodeError> {
         let node = Node::new(settings, dialect, Name::default());
-        let load = RefCell::new(Load::new(node.settings.retries.clone()));
+        let me = node.me();
+        let seed = seed::of_host(&me.name, me.boot);
+        let load = RefCell::new(Load::new(node.settings.retries.clone(), seed));
         let entry = Rc::new(Self {
             node,
             load,
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -29,8 +29,6 @@
     /// The configuration in force here, once one has arrived.
     pub(crate) configuration: Option<Arc<FleetConfiguration>>,
     pub(crate) routes: RouteTable,
-    /// When the state of control last changed here.
-    pub(crate) control_changed_ms: u64,
 }
 
 /// The part of a process that both roles share.
@@ -75,7 +73,6 @@
             control: anvillift_fleet::ControlMachine::default().state().clone(),
             configuration: None,
             routes: RouteTable::default(),
-            control_changed_ms: 0,
         };
         let seeds = RefCell::new(settings.seed_names());
         Rc::new(Self {
@@ -202,8 +199,12 @@
             index = control.index, evacuated = control.evacuated.len();
             "control state in force"
         );
+        let now_ms = clock::now_ms();
+        let ended = known.control.evacuated.clone();
+        for data_centre in ended.iter().filter(|name| !control.evacuated.contains(name)) {
+            known.workers.doubt_data_centre(now_ms, data_centre);
+        }
         known.control = control;
-        known.control_changed_ms = clock::now_ms();
         true
     }
 }
