Send long shared prompts to the worker that keeps them, and ask again for lost answers

(3) Dialling a host without power hung 0.9 s, and elections took up to 1.6 s, which cost the seconds after a loss of power. (6) One request in seven of a class fails wherever it runs; asking again in another region helped none.

Ruled out: workers' slots (at most half used), the hosts' processors (under 0.01 of 0.25 cores), our queueing (none).

Change: a ranking of the whole fleet's workers by document, the own region otherwise; a wait that follows the route's present latency; connects shorter than a lost packet's second try, elections from 0.5 s; fixed parts of a cold worker's rate that assume unseen hosts after a start; leaving hosts of the own region before other regions, and stops that end with the last request; a worker's own failure is retried only where it fails more than requests do.

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -19,6 +19,20 @@
 /// Prompt tokens that weigh as much as a full batch.
 const BATCH_TOKENS: f64 = 60_000.0;
 
+/// The worker of a whole fleet that is most likely to keep the shared part of a
+/// prompt, if that part is long enough to follow it.
+pub fn keeper<'a>(workers: impl Iterator<Item = &'a Name>, prompt: &Prompt) -> Option<&'a Name> {
+    if prompt.shared_tokens < FOLLOWED_TOKENS {
+        return None;
+    }
+    workers.max_by_key(|worker| rank(worker, prompt.shared_id))
+}
+
+/// Rank of a worker for a key; every host computes it alike.
+fn rank(worker: &str, key: u64) -> u64 {
+    seed::mix(key ^ seed::hash(worker.as_bytes()))
+}
+
 /// How much a worker is to be avoided.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, derive_more::Display)]
 pub enum Trouble {
@@ -59,8 +73,7 @@
 
 /// The candidates in the order in which they are to be tried. `draw` breaks ties.
 pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
-    let rank =
-        |candidate: &Candidate, key: u64| seed::mix(key ^ seed::hash(candidate.worker.as_bytes()));
+    let rank = |candidate: &Candidate, key: u64| rank(&candidate.worker, key);
     candidates.sort_by(|left, right| {
         let avoid = |candidate: &Candidate| (candidate.trouble, candidate.is_cold);
         let load = left.load().total_cmp(&right.load());
--- a/crates/anvillift-fleet/src/directory.rs
+++ b/crates/anvillift-fleet/src/directory.rs
@@ -2,8 +2,9 @@
 //!
 //! A caller is sent to the hosts of its own region, since a request that starts
 //! elsewhere carries its body across. Another region's hosts are named only
-//! where the own one has none. Hosts that leave, start or have gone silent are
-//! never named beside one that is ready.
+//! where the own one has none, not even one that is leaving and still serves.
+//! Hosts that leave, start or have gone silent are never named beside one that
+//! is ready.
 
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 
@@ -19,15 +20,24 @@
     let told: Vec<FleetHost> =
         hosts.iter(now_ms).filter(|(_, alive)| *alive).map(|(host, _)| host.clone()).collect();
     // What this host hears itself is surer than what it was told.
-    let choices =
-        [ready(&heard, own), ready(&told, own), ready(&heard, |_| true), ready(&told, |_| true)];
+    let choices = [
+        usable(&heard, FleetHostState::Ready, own),
+        usable(&told, FleetHostState::Ready, own),
+        usable(&heard, FleetHostState::Leaving, own),
+        usable(&heard, FleetHostState::Ready, |_| true),
+        usable(&told, FleetHostState::Ready, |_| true),
+    ];
     choices.into_iter().find(|addresses| !addresses.is_empty()).unwrap_or_default()
 }
 
-fn ready(hosts: &[FleetHost], wanted: impl Fn(&FleetHost) -> bool) -> Vec<String> {
+fn usable(
+    hosts: &[FleetHost],
+    state: FleetHostState,
+    wanted: impl Fn(&FleetHost) -> bool,
+) -> Vec<String> {
     let usable = |host: &&FleetHost| {
         host.role == FleetHostRole::Entry
-            && host.state == FleetHostState::Ready
+            && host.state == state
             && !host.caller_address.is_empty()
             && wanted(host)
     };
--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -92,11 +92,11 @@
     }
 
     /// Hosts that take callers, alive or silent for a little while, in a region.
-    pub fn entries_known_in(&self, region: &str) -> usize {
+    pub fn entries_known_in(&self, region: &str) -> Vec<Name> {
         let entries = self.hosts.values().filter(|heard| {
             heard.host.role == FleetHostRole::Entry && heard.host.region.as_str() == region
         });
-        entries.count()
+        entries.map(|heard| heard.host.name.clone()).collect()
     }
 
     /// Hosts that take callers, alive or silent for a little while.
@@ -119,6 +119,15 @@
         self.iter(now_ms).filter(ready).map(|(host, _)| host)
     }
 
+    /// How long no core host of a region has been heard directly, in milliseconds.
+    pub fn region_silent_ms(&self, now_ms: u64, region: &str) -> Option<u64> {
+        let cores = self.hosts.values().filter(|heard| {
+            heard.host.role == FleetHostRole::Core && heard.host.region.as_str() == region
+        });
+        let heard_ms = cores.filter_map(|heard| heard.direct_ms).max()?;
+        Some(now_ms.saturating_sub(heard_ms))
+    }
+
     /// Drops hosts that have long been silent.
     pub fn forget(&mut self, now_ms: u64) {
         self.hosts.retain(|_, heard| heard.heard_ms + FORGET_AFTER_MS >= now_ms);
--- a/crates/anvillift-fleet/src/worker_health.rs
+++ b/crates/anvillift-fleet/src/worker_health.rs
@@ -6,6 +6,11 @@
 
 use crate::choose::Trouble;
 
+/// Weight of the newest answer in the share of failures.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Share of failures that is the worker's rather than the requests'.
+const FAILING_SHARE: f64 = 0.28;
+
 /// Settings of a [`WorkerHealth`].
 #[derive(Clone, Debug)]
 pub struct WorkerHealthSettings {
@@ -32,6 +37,8 @@
     heard_ms: u64,
     waiting_since_ms: Option<u64>,
     waiting: u32,
+    /// Share of failures of its own among its latest answers.
+    failing_share: f64,
 }
 
 impl WorkerHealth {
@@ -69,6 +76,18 @@
         self.score += 1.0;
     }
 
+    /// The worker answered, with a failure of its own or not.
+    pub fn answered(&mut self, is_failure: bool) {
+        let newest = f64::from(u8::from(is_failure));
+        self.failing_share += (newest - self.failing_share) * NEWEST_WEIGHT;
+    }
+
+    /// Whether the worker fails so often that another is likely to do better.
+    /// Some requests fail wherever they run; asking again helps none of them.
+    pub fn fails_by_itself(&self) -> bool {
+        self.failing_share > FAILING_SHARE
+    }
+
     /// How much the worker is to be avoided.
     pub fn trouble(&self, now_ms: u64, settings: &WorkerHealthSettings) -> Trouble {
         let quiet_ms = self.waiting_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -19,6 +19,11 @@
 /// Longest time for which a worker counts as cold on doubt, in milliseconds.
 const DOUBT_MS: u64 = 6_000;
 
+/// Time by which reports are usually late, in milliseconds.
+const LATE_MS: u64 = 300;
+/// For how long a worker that has missed a report is told to be cold, in milliseconds.
+const TOLD_COLD_MS: u64 = 3_000;
+
 /// A worker as this host knows it.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -38,6 +43,19 @@
         self.report.state == FleetWorkerState::Ready
     }
 
+    /// The report as it is told to a host that knows nothing yet. Whether it is
+    /// cold is told as of now; one that has missed a report may have started
+    /// again, and is told to be cold for a while.
+    pub fn as_told(&self, now_ms: u64, report_interval_ms: u64) -> FleetWorker {
+        let mut told = self.report.clone();
+        told.cold_ms = self.cold_until_ms.saturating_sub(now_ms);
+        let age_ms = now_ms.saturating_sub(self.heard_ms);
+        if age_ms > report_interval_ms * 3 / 2 + LATE_MS {
+            told.cold_ms = told.cold_ms.max(TOLD_COLD_MS);
+        }
+        told
+    }
+
     fn doubt(&mut self, now_ms: u64) {
         self.settled_by_sequence = Some(self.report.sequence + DOUBTED_REPORTS);
         self.cold_until_ms = self.cold_until_ms.max(now_ms + DOUBT_MS);
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -1,5 +1,10 @@
 //! Tests of the fleet's tables and decisions.
 
+mod choose;
+mod cold;
+mod directory;
+mod health;
+mod patience;
 mod seed;
 mod verdict;
 mod workers;
--- a/crates/anvillift-fleet/tests/testsuite/workers.rs
+++ b/crates/anvillift-fleet/tests/testsuite/workers.rs
@@ -97,3 +97,15 @@
         }
     );
 }
+
+/// Seen on tricura-caves, mix seed 926523552962: a region lost power; hosts that
+/// started again with the workers were told of these as they had been before.
+#[test]
+fn a_worker_that_missed_a_report_is_told_to_be_cold() {
+    let mut table = WorkerTable::default();
+    table.merge(NOW_MS, report("a", 1, 5));
+    let told_cold_ms =
+        |now_ms| table.get("a").map(|entry| entry.as_told(now_ms, 1_200).cold_ms).unwrap_or(0);
+    assert_eq!(told_cold_ms(NOW_MS + 1_300), 0);
+    assert!(told_cold_ms(NOW_MS + 2_500) > 0);
+}
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -31,7 +31,7 @@
 /// Entries between snapshots; entries hold whole configurations.
 const SNAPSHOT_ENTRIES: u64 = 32;
 /// Election timeout and heartbeat; a message crosses regions in tens of milliseconds.
-const TIMING: GroupTiming = GroupTiming { election_timeout_ms: 800, heartbeat_ms: 200 };
+const TIMING: GroupTiming = GroupTiming { election_timeout_ms: 500, heartbeat_ms: 125 };
 /// Before a failed storage is opened again.
 const REOPEN_AFTER: Duration = Duration::from_millis(700);
 
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -23,7 +23,9 @@
         if known.control.index > 0 {
             frames.push(FleetFrame::Control(known.control.clone()));
         }
-        frames.extend(known.workers.iter().map(|entry| FleetFrame::Worker(entry.report.clone())));
+        let (now_ms, interval_ms) = (clock::now_ms(), self.node.settings.report_interval_ms);
+        let told = known.workers.iter().map(|entry| entry.as_told(now_ms, interval_ms));
+        frames.extend(told.map(FleetFrame::Worker));
         frames
     }
 
--- a/crates/anvillift-node/src/core/reports.rs
+++ b/crates/anvillift-node/src/core/reports.rs
@@ -17,8 +17,6 @@
 /// Longest time for which the answer to a worker that leaves waits for the
 /// hosts that may send to it.
 const SEEN_WITHIN: Duration = Duration::from_millis(500);
-/// Between two relays of a report that changes nothing, in milliseconds.
-const RELAY_EVERY_MS: u64 = 2_400;
 /// Reports that may be missed before a worker counts as silent.
 const MISSED_REPORTS: u64 = 4;
 /// Time by which a report may be late, in milliseconds.
@@ -36,7 +34,6 @@
 #[derive(Default)]
 pub(crate) struct Reports {
     unconfirmed: BTreeMap<ReportKey, Unconfirmed>,
-    relayed_ms: BTreeMap<Name, u64>,
 }
 
 impl Reports {
@@ -52,14 +49,6 @@
             }
         }
     }
-
-    fn is_due(&mut self, now_ms: u64, worker: &Name) -> bool {
-        let due = self.relayed_ms.get(worker).is_none_or(|ms| ms + RELAY_EVERY_MS <= now_ms);
-        if due {
-            self.relayed_ms.insert(worker.clone(), now_ms);
-        }
-        due
-    }
 }
 
 impl Core {
@@ -76,7 +65,7 @@
             self.confirm(report).await;
         } else if matters {
             self.tell_worker(&report);
-        } else if self.reports.borrow_mut().is_due(now_ms, &report.id) {
+        } else {
             self.tell(&self.linked(FleetHostRole::Core), &report);
         }
     }
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -54,13 +54,17 @@
         request: &Request,
         target: &Target,
         resume_after: Option<&str>,
+        wait_ms: u64,
     ) -> Exchange {
-        let left = Duration::from_millis(request.left_ms());
+        let wait = Duration::from_millis(wait_ms);
         let exchange = self.exchange(request, target, resume_after);
         tokio::select! {
             biased;
-            ended = time::timeout(left, exchange) => match ended {
+            ended = time::timeout(wait, exchange) => match ended {
                 Ok(exchange) => exchange,
+                Err(_) if request.left_ms() > 0 => {
+                    Exchange::Ended(AttemptEnd::Broken, "no answer for long".to_owned())
+                }
                 Err(_) => Exchange::Ended(AttemptEnd::TimedOut, "no answer in time".to_owned()),
             },
             () = caller.departed() => Exchange::CallerLeft,
--- a/crates/anvillift-node/src/entry/final_answer.rs
+++ b/crates/anvillift-node/src/entry/final_answer.rs
@@ -40,7 +40,7 @@
         status: 503,
         code: 4302,
         reason: "this host has no configuration yet",
-        retry_after_ms: Some(500),
+        retry_after_ms: Some(1_200),
     };
     pub(crate) const LEAVING: Self =
         Self { status: 503, code: 4303, reason: "this host is leaving", retry_after_ms: Some(10) };
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -58,7 +58,8 @@
             attempts.tried.insert(target.name.clone());
             let began_ms = clock::now_ms();
             self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
-            let exchange = self.attempt(caller, request, &target, None).await;
+            let wait_ms = self.answer_wait_ms(request, &attempts);
+            let exchange = self.attempt(caller, request, &target, None, wait_ms).await;
             let now_ms = clock::now_ms();
             match exchange {
                 Exchange::CallerLeft => {
@@ -68,8 +69,12 @@
                 }
                 Exchange::Answered(answer) => {
                     attempts.ran += 1;
-                    self.load.borrow_mut().answered(now_ms, &target.name, &request.prompt);
-                    if !self.tries_again_after(request, &attempts, &answer) {
+                    {
+                        let mut load = self.load.borrow_mut();
+                        load.answered(now_ms, &target.name, &request.prompt);
+                        load.patience.observe(&request.route.name, now_ms - began_ms);
+                    }
+                    if !self.tries_again_after(request, &attempts, &target, &answer) {
                         log_attempt(request, &target, began_ms, "answered", "");
                         return self.relay(caller, request, target, *answer, attempts, keeps).await;
                     }
@@ -104,14 +109,34 @@
         }
     }
 
+    /// How long the next answer is waited for, in milliseconds: to the end,
+    /// unless another worker may run the request too.
+    pub(crate) fn answer_wait_ms(&self, request: &Request, attempts: &Attempts) -> u64 {
+        let left_ms = request.left_ms();
+        let state = attempts.state(request);
+        if !state.kind.may_repeat() || state.ran + 1 >= state.attempts {
+            return left_ms;
+        }
+        let route = &request.route;
+        let load = self.load.borrow();
+        load.patience.wait_ms(&route.name, route.target_latency_ms).min(left_ms)
+    }
+
     fn may_retry(&self, request: &Request) -> bool {
         let hosts = self.node.known.borrow().hosts.entries_known();
         self.load.borrow_mut().retries.spend(clock::now_ms(), &request.service, hosts)
     }
 
     /// Whether the worker's own failure is better answered by another worker.
-    fn tries_again_after(&self, request: &Request, attempts: &Attempts, answer: &Answer) -> bool {
-        if answer.head.status < 500 {
+    fn tries_again_after(
+        &self,
+        request: &Request,
+        attempts: &Attempts,
+        target: &Target,
+        answer: &Answer,
+    ) -> bool {
+        let is_failure = answer.head.status >= 500;
+        if !self.load.borrow_mut().fails_by_itself(&target.name, is_failure) {
             return false;
         }
         let another = self.next_target(request, &attempts.tried).is_some();
--- a/crates/anvillift-node/src/entry/load.rs
+++ b/crates/anvillift-node/src/entry/load.rs
@@ -4,7 +4,8 @@
 
 use anvillift_fleet::choose::Trouble;
 use anvillift_fleet::{
-    ColdShare, InFlight, Prompt, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
+    ColdShare, InFlight, Patience, Prompt, RetryShare, RetryShareSettings, WorkerHealth,
+    WorkerHealthSettings,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -16,6 +17,7 @@
     pub(crate) retries: RetryShare,
     pub(crate) rng: SmallRng,
     work: BTreeMap<Name, InFlight>,
+    pub(crate) patience: Patience,
     health: BTreeMap<Name, WorkerHealth>,
     health_settings: WorkerHealthSettings,
 }
@@ -27,6 +29,7 @@
             retries: RetryShare::new(retries),
             rng: SmallRng::seed_from_u64(seed),
             work: BTreeMap::new(),
+            patience: Patience::default(),
             health: BTreeMap::new(),
             health_settings: WorkerHealthSettings::default(),
         }
@@ -62,6 +65,14 @@
         self.heard(now_ms, worker);
     }
 
+    /// A worker answered, with a failure of its own or not; whether it fails so
+    /// often that another is likely to do better.
+    pub(crate) fn fails_by_itself(&mut self, worker: &Name, is_failure: bool) -> bool {
+        let health = self.health.entry(worker.clone()).or_default();
+        health.answered(is_failure);
+        is_failure && health.fails_by_itself()
+    }
+
     /// A request has ended, well or not, or without a finding about the worker.
     pub(crate) fn end(&mut self, now_ms: u64, worker: &Name, good: Option<bool>) {
         InFlight::end(&mut self.work, worker);
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -46,17 +46,18 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 /// Shortest stay after the planned stop has begun: callers use what the
 /// directory told them for a while.
-const STAY_AT_LEAST_MS: u64 = 4_000;
+const STAY_AT_LEAST_MS: u64 = 1_200;
 /// Kept of the grace for the process to end by itself, in milliseconds.
 const END_BEFORE_GRACE_MS: u64 = 900;
 /// Between looks at whether everything has ended.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(20);
 
 /// An entry host.
 pub(crate) struct Entry {
     pub(crate) node: Rc<Node>,
     pub(crate) load: RefCell<Load>,
     pub(crate) pool: Rc<Pool>,
+    pub(crate) started_ms: u64,
     /// Requests that are being served.
     pub(crate) in_service: Cell<u64>,
     /// When the planned stop began.
@@ -74,6 +75,7 @@
             node,
             load,
             pool: Pool::new(),
+            started_ms: clock::now_ms(),
             in_service: Cell::new(0),
             leaving_since_ms: Cell::new(None),
         });
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -60,6 +60,10 @@
     keeps: bool,
     pub(super) events: Option<EventSplitter>,
     pub(super) passed_on_ms: Option<u64>,
+    /// Parts passed on, and the longest pause between two of them.
+    parts: u64,
+    longest_pause_ms: u64,
+    last_part_ms: u64,
 }
 
 impl Entry {
@@ -159,7 +163,7 @@
             event = Event::RequestServed.number(), id = request.id.as_str(),
             route = request.route.name.as_str(), from = source.target.name.as_str(),
             status = source.head.status, first_ms = first_ms, age_ms = age_ms,
-            version = request.version;
+            parts = outlet.parts, pause_ms = outlet.longest_pause_ms, version = request.version;
             "answer {outcome}"
         );
         metrics::counter!("anvillift_answers_total", "outcome" => outcome.to_owned()).increment(1);
@@ -195,7 +199,16 @@
         head.write_to(&mut bytes);
         bytes.extend_from_slice(b"\r\n");
         let events = splits.then(EventSplitter::default);
-        Self { head: Some(bytes), chunked, keeps, events, passed_on_ms: None }
+        Self {
+            head: Some(bytes),
+            chunked,
+            keeps,
+            events,
+            passed_on_ms: None,
+            parts: 0,
+            longest_pause_ms: 0,
+            last_part_ms: 0,
+        }
     }
 
     /// Whether anything has reached the caller.
@@ -215,7 +228,7 @@
         if data.is_empty() {
             return Ok(());
         }
-        self.passed_on_ms.get_or_insert_with(clock::now_ms);
+        self.count_part();
         let mut bytes = self.head.take().unwrap_or_default();
         if self.chunked {
             bytes.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
@@ -227,6 +240,16 @@
         caller.write_all(&bytes).await
     }
 
+    fn count_part(&mut self) {
+        let now_ms = clock::now_ms();
+        if self.passed_on_ms.is_some() {
+            self.longest_pause_ms = self.longest_pause_ms.max(now_ms - self.last_part_ms);
+        }
+        self.passed_on_ms.get_or_insert(now_ms);
+        self.last_part_ms = now_ms;
+        self.parts += 1;
+    }
+
     async fn end(&mut self, caller: &Connection) -> io::Result<()> {
         self.passed_on_ms.get_or_insert_with(clock::now_ms);
         let mut bytes = self.head.take().unwrap_or_default();
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -46,7 +46,10 @@
             attempts.tried.insert(target.name.clone());
             let began_ms = clock::now_ms();
             self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
-            let exchange = self.attempt(caller, request, &target, last_id.as_deref()).await;
+            let exchange = {
+                let (after, wait_ms) = (last_id.as_deref(), request.left_ms());
+                self.attempt(caller, request, &target, after, wait_ms).await
+            };
             let now_ms = clock::now_ms();
             match exchange {
                 Exchange::Answered(answer) if answer.head.status == 200 => {
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use anvillift_fleet::choose;
 use anvillift_fleet::choose::{Candidate, Trouble};
+use anvillift_fleet::{Sharers, WorkerEntry, choose};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -21,6 +21,10 @@
 
 /// Part of a cold worker's rate that is used.
 const COLD_USE: f64 = 0.9;
+/// Time after the start by which the hosts of the region are known, in milliseconds.
+const SETTLED_AFTER_MS: u64 = 5_000;
+/// Silence of a region's cores after which nothing is sent there, in milliseconds.
+const REGION_SILENT_MS: u64 = 1_300;
 /// Connections to one other host.
 const HOST_CONNECTIONS: usize = 256;
 
@@ -48,12 +52,18 @@
             if home { self.candidates(&known, request, tried) } else { Vec::new() };
         let draw = self.load.borrow_mut().rng.random();
         choose::order(&mut candidates, &request.prompt, draw);
+        if request.origin == Origin::Caller
+            && tried.is_empty()
+            && let Some(target) = self.keeper_elsewhere(&known, request)
+        {
+            return Some(target);
+        }
         let sound = candidates.iter().filter(|other| other.trouble == Trouble::None);
         if let Some(target) = self.first_allowed(&known, request, sound, "local") {
             return Some(target);
         }
         if request.origin == Origin::Caller
-            && let Some(target) = self.remote(&known, request, tried)
+            && let Some(target) = self.remote(&known, request, tried, None, "remote")
         {
             return Some(target);
         }
@@ -79,7 +89,7 @@
                 && self.node.settings.region_of(&report.data_centre) == Some(region)
                 && !known.control.evacuated.contains(&report.data_centre)
         });
-        let candidate = |entry: &anvillift_fleet::WorkerEntry| Candidate {
+        let candidate = |entry: &WorkerEntry| Candidate {
             worker: entry.report.id.clone(),
             work: load.work(&entry.report.id),
             slots: entry.report.slots,
@@ -100,7 +110,10 @@
         let configuration = known.configuration.as_ref()?;
         let service = configuration.services.get(&request.service)?;
         let settings = &self.node.settings;
-        let hosts = known.hosts.entries_known_in(&settings.region).max(1);
+        let hosts = known.hosts.entries_known_in(&settings.region);
+        let me = self.node.me().name;
+        let is_settled = now_ms >= self.started_ms + SETTLED_AFTER_MS;
+        let sharers = Sharers { me: &me, hosts: &hosts, is_settled };
         let cold_per_s = service.cold_per_s * settings.cold_factor + settings.cold_extra;
         let mut allowed = candidates.filter(|candidate| {
             !candidate.is_cold
@@ -109,12 +122,12 @@
                     now_ms,
                     &candidate.worker,
                     cold_per_s * COLD_USE,
-                    hosts,
+                    &sharers,
                 )
         });
         let chosen = allowed.next()?;
         let address = known.workers.get(&chosen.worker)?.report.address.parse().ok()?;
-        let share = service.connection_limit as usize / (hosts + 1);
+        let share = service.connection_limit as usize / (hosts.len() + 1);
         Some(Target {
             name: chosen.worker.clone(),
             address,
@@ -124,16 +137,45 @@
         })
     }
 
+    /// An entry host of the region whose worker is most likely to keep the long
+    /// shared part of a prompt: reading it again takes longer than the way there.
+    fn keeper_elsewhere(&self, known: &Known, request: &Request) -> Option<Target> {
+        let settings = &self.node.settings;
+        let region_of = |entry: &WorkerEntry| settings.region_of(&entry.report.data_centre);
+        let workers = known.workers.ready(&request.service).filter(|entry| {
+            !known.control.evacuated.contains(&entry.report.data_centre)
+                && region_of(entry).is_some_and(|region| request.route.allows_region(region))
+        });
+        let keeper = choose::keeper(workers.map(|entry| &entry.report.id), &request.prompt)?;
+        let region = region_of(known.workers.get(keeper)?)?;
+        if *region == settings.region {
+            return None;
+        }
+        self.remote(known, request, &BTreeSet::new(), Some(region), "keeper")
+    }
+
     /// An entry host of another region with workers of the service.
-    fn remote(&self, known: &Known, request: &Request, tried: &BTreeSet<Name>) -> Option<Target> {
+    fn remote(
+        &self,
+        known: &Known,
+        request: &Request,
+        tried: &BTreeSet<Name>,
+        only: Option<&Name>,
+        reason: &'static str,
+    ) -> Option<Target> {
         let now_ms = clock::now_ms();
         let settings = &self.node.settings;
+        let in_touch = |region: &Name| {
+            let silent_ms = known.hosts.region_silent_ms(now_ms, region);
+            silent_ms.is_some_and(|silent_ms| silent_ms <= REGION_SILENT_MS)
+        };
         let serves: BTreeSet<&Name> = known
             .workers
             .ready(&request.service)
             .filter(|entry| !known.control.evacuated.contains(&entry.report.data_centre))
             .filter_map(|entry| settings.region_of(&entry.report.data_centre))
             .filter(|region| **region != settings.region && request.route.allows_region(region))
+            .filter(|region| only.is_none_or(|only| only == *region) && in_touch(region))
             .collect();
         let mut load = self.load.borrow_mut();
         let hosts: Vec<&FleetHost> = serves
@@ -151,7 +193,7 @@
             address: host.forward_address.parse().ok()?,
             is_host: true,
             connection_limit: HOST_CONNECTIONS,
-            reason: "remote",
+            reason,
         })
     }
 }
--- a/crates/anvillift-node/src/hub.rs
+++ b/crates/anvillift-node/src/hub.rs
@@ -22,10 +22,13 @@
 use crate::link::FrameSender;
 use crate::{link, listen};
 
+/// Longest time for a connection: shorter than a lost packet's second try takes,
+/// so that a host that comes back is reached at once.
+const CONNECT_WITHIN: Duration = Duration::from_millis(350);
 /// Longest time for a connection and its handshake.
 const DIAL_WITHIN: Duration = Duration::from_millis(900);
 /// Before a link is dialled again.
-const DIAL_AGAIN: Duration = Duration::from_millis(300);
+const DIAL_AGAIN: Duration = Duration::from_millis(120);
 
 type OnFrame = Box<dyn Fn(&Name, FleetFrame)>;
 type OnUp = Box<dyn Fn(&Name) -> Vec<FleetFrame>>;
@@ -188,7 +191,7 @@
 async fn dial(
     address: SocketAddr,
 ) -> Result<tokio_tungstenite::WebSocketStream<TcpStream>, SocketError> {
-    let stream = listen::connect(address, DIAL_WITHIN).await?;
+    let stream = listen::connect(address, CONNECT_WITHIN).await?;
     let (socket, _) = tokio_tungstenite::client_async(format!("ws://{address}/"), stream).await?;
     Ok(socket)
 }
