Test the hosts as processes against a stand-in of the platform

Change: a stand-in of the platform's workers, callers and operators on loopback (platform/tests), tests of connections and framing, descriptions of hosts sent as changes and not as whole lists (108 MB at a core of 89 entry hosts before).

--- /dev/null
+++ b/crates/anvillift-http/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of connections, over loopback sockets.
+
+mod connection;
+mod framing;
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -3,7 +3,7 @@
 use anvillift_fleet::core_roster;
 use anvillift_fleet::core_roster::RosterChange;
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{FleetFrame, FleetHostRole, FleetHosts};
+use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetHostRole, FleetHosts};
 use anvillift_schema::name::Name;
 
 use crate::clock;
@@ -36,10 +36,10 @@
         FleetFrame::Hosts(FleetHosts { hosts })
     }
 
-    /// Tells every link which hosts this one hears.
-    pub(super) fn tell_hosts(&self) {
+    /// Tells every link of a host that is new or has changed.
+    pub(super) fn tell_host(&self, host: FleetHost) {
         if let Some(hub) = self.node.hub() {
-            hub.send_all(&self.hosts_frame());
+            hub.send_all(&FleetFrame::Hosts(FleetHosts { hosts: vec![host] }));
         }
     }
 
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -97,8 +97,8 @@
     fn on_frame(&self, from: &Name, frame: FleetFrame) {
         match frame {
             FleetFrame::Hello(host) => {
-                if self.node.learn_host(host, true) {
-                    self.tell_hosts();
+                if self.node.learn_host(host.clone(), true) {
+                    self.tell_host(host);
                 }
             }
             FleetFrame::Consensus(envelope) => self.log.receive(from.clone(), envelope),
--- a/crates/anvillift-node/src/entry/pool.rs
+++ b/crates/anvillift-node/src/entry/pool.rs
@@ -64,7 +64,7 @@
         within: Duration,
     ) -> Result<Lease, AcquireError> {
         if let Some(connection) = self.take_idle(address) {
-            return Ok(self.lease(address, connection, true));
+            return Ok(self.lease(address, Some(connection)));
         }
         {
             let mut places = self.places.borrow_mut();
@@ -75,13 +75,7 @@
             place.open += 1;
         }
         // The lease gives the place back, also when connecting is given up.
-        let mut lease = Lease {
-            connection: None,
-            address,
-            pool: Rc::clone(self),
-            is_reused: false,
-            holds_place: true,
-        };
+        let mut lease = self.lease(address, None);
         let stream = listen::connect(address, within).await?;
         metrics::counter!("anvillift_connections_opened_total").increment(1);
         lease.connection = Some(Connection::new(stream));
@@ -112,19 +106,8 @@
         None
     }
 
-    fn lease(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        connection: Connection,
-        is_reused: bool,
-    ) -> Lease {
-        Lease {
-            connection: Some(connection),
-            address,
-            pool: Rc::clone(self),
-            is_reused,
-            holds_place: true,
-        }
+    fn lease(self: &Rc<Self>, address: SocketAddr, connection: Option<Connection>) -> Lease {
+        Lease { connection, address, pool: Rc::clone(self), holds_place: true }
     }
 }
 
@@ -133,8 +116,6 @@
     connection: Option<Connection>,
     address: SocketAddr,
     pool: Rc<Pool>,
-    /// Whether the connection has carried a request before.
-    pub(crate) is_reused: bool,
     holds_place: bool,
 }
 
--- a/crates/anvillift-node/src/hub.rs
+++ b/crates/anvillift-node/src/hub.rs
@@ -90,11 +90,6 @@
         task::spawn_local(async move { hub.dial_on(name, address).await });
     }
 
-    /// Gives up the link to a host.
-    pub(crate) fn drop_link(&self, name: &str) {
-        self.links.borrow_mut().dialled.remove(name);
-    }
-
     /// Sends a frame to a host, if it has a link.
     pub(crate) fn send(&self, name: &str, frame: FleetFrame) {
         let links = self.links.borrow();
@@ -125,7 +120,7 @@
     }
 
     async fn dial_on(self: Rc<Self>, name: Name, address: SocketAddr) {
-        while self.links.borrow().dialled.contains_key(&name) {
+        loop {
             let dialled = time::timeout(DIAL_WITHIN, dial(address)).await;
             if let Ok(Ok(socket)) = dialled {
                 let (tx, rx) = link::queue();
