Send a part of a peak to regions that are clearly less busy; leave a slow answer only for another worker

Change: entry hosts tell the cores what they have under way, cores tell the sums by region; a part of the requests goes where the load is clearly less; moving is decided by whether the budget and another worker allow it.

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -19,10 +19,15 @@
 /// Prompt tokens that weigh as much as a full batch.
 const BATCH_TOKENS: f64 = 60_000.0;
 
+/// Whether a prompt goes where its shared part is kept.
+pub fn follows(prompt: &Prompt) -> bool {
+    prompt.shared_tokens >= FOLLOWED_TOKENS
+}
+
 /// The worker of a whole fleet that is most likely to keep the shared part of a
 /// prompt, if that part is long enough to follow it.
 pub fn keeper<'a>(workers: impl Iterator<Item = &'a Name>, prompt: &Prompt) -> Option<&'a Name> {
-    if prompt.shared_tokens < FOLLOWED_TOKENS {
+    if !follows(prompt) {
         return None;
     }
     workers.max_by_key(|worker| rank(worker, prompt.shared_id))
@@ -66,11 +71,15 @@
 impl Candidate {
     /// Load in batches.
     pub fn load(&self) -> f64 {
-        let slots = self.slots.max(1) as f64;
-        self.work.requests as f64 / slots + self.work.unread_tokens as f64 / BATCH_TOKENS
+        load(&self.work, self.slots)
     }
 }
 
+/// The load that work makes, in batches of `slots` requests.
+pub fn load(work: &InFlight, slots: u64) -> f64 {
+    work.requests as f64 / slots.max(1) as f64 + work.unread_tokens as f64 / BATCH_TOKENS
+}
+
 /// The candidates in the order in which they are to be tried. `draw` breaks ties.
 pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
     let rank = |candidate: &Candidate, key: u64| rank(&candidate.worker, key);
@@ -80,7 +89,7 @@
         let tie = rank(left, draw).cmp(&rank(right, draw));
         avoid(left).cmp(&avoid(right)).then(load).then(tie)
     });
-    if prompt.shared_tokens < FOLLOWED_TOKENS {
+    if !follows(prompt) {
         return;
     }
     let Some(first) = candidates.first() else { return };
--- a/crates/anvillift-fleet/src/retry_share.rs
+++ b/crates/anvillift-fleet/src/retry_share.rs
@@ -58,15 +58,20 @@
     /// Whether a retry may be sent, with so many hosts in the fleet; counts it
     /// if so.
     pub fn spend(&mut self, now_ms: u64, service: &Name, hosts: usize) -> bool {
+        let free = self.allows(now_ms, service, hosts);
+        if free {
+            self.spent(service).retries.add(now_ms);
+        }
+        free
+    }
+
+    /// Whether a retry may be sent.
+    pub fn allows(&mut self, now_ms: u64, service: &Name, hosts: usize) -> bool {
         let (ratio, allowance) = (self.settings.ratio, self.settings.allowance);
         let spent = self.spent(service);
         let earned = spent.requests.count(now_ms) as f64 * ratio * SPENT_RATIO;
         let allowed = earned + allowance as f64 / hosts.max(1) as f64;
-        let free = (spent.retries.count(now_ms) as f64) + 1.0 <= allowed;
-        if free {
-            spent.retries.add(now_ms);
-        }
-        free
+        (spent.retries.count(now_ms) as f64) + 1.0 <= allowed
     }
 
     fn spent(&mut self, service: &Name) -> &mut Spent {
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -6,5 +6,6 @@
 mod health;
 mod patience;
 mod seed;
+mod spill;
 mod verdict;
 mod workers;
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -57,6 +57,21 @@
         self.node.known.borrow_mut().hosts.forget(clock::now_ms());
     }
 
+    /// Tells the entry hosts of the own region what is under way in each region.
+    pub(super) fn tell_loads(&self) {
+        let Some(hub) = self.node.hub() else { return };
+        let entries = self.linked(FleetHostRole::Entry);
+        let known = self.node.known.borrow();
+        let frame = FleetFrame::Loads(known.loads.by_region(clock::now_ms()));
+        let own = &self.node.settings.region;
+        let near = entries
+            .iter()
+            .filter(|name| known.hosts.get(name).is_some_and(|host| host.region == *own));
+        for name in near {
+            hub.send(name, frame.clone());
+        }
+    }
+
     /// Hosts of a role that have a link.
     pub(super) fn linked(&self, role: FleetHostRole) -> Vec<Name> {
         let Some(hub) = self.node.hub() else { return Vec::new() };
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -109,8 +109,12 @@
                 let now_ms = crate::clock::now_ms();
                 self.node.known.borrow_mut().hosts.heard(now_ms, from);
             }
-            // Cores learn control from the log.
-            FleetFrame::Control(_) => (),
+            FleetFrame::Load(load) => {
+                let now_ms = crate::clock::now_ms();
+                self.node.known.borrow_mut().loads.tell_host(now_ms, from, load);
+            }
+            // Cores learn control from the log, and add up the loads themselves.
+            FleetFrame::Control(_) | FleetFrame::Loads(_) => (),
         }
     }
 
@@ -122,6 +126,7 @@
             turns += 1;
             self.node.dial_cores();
             self.expire_workers();
+            self.tell_loads();
             self.gossip(turns);
             self.change_voters().await;
         }
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request to one worker, up to the head of its answer.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use anvillift_fleet::verdict::AttemptEnd;
@@ -47,27 +48,37 @@
 
 impl Entry {
     /// Sends a request and reads the head of its answer, for as long as the
-    /// caller stays.
+    /// caller stays. After `patience_ms` it is given up if `may_move` says that
+    /// another worker can be asked.
     pub(crate) async fn attempt(
         &self,
         caller: &mut Connection,
         request: &Request,
         target: &Target,
         resume_after: Option<&str>,
-        wait_ms: u64,
+        patience_ms: u64,
+        may_move: impl Fn() -> bool,
     ) -> Exchange {
-        let wait = Duration::from_millis(wait_ms);
-        let exchange = self.exchange(request, target, resume_after);
-        tokio::select! {
-            biased;
-            ended = time::timeout(wait, exchange) => match ended {
-                Ok(exchange) => exchange,
-                Err(_) if request.left_ms() > 0 => {
-                    Exchange::Ended(AttemptEnd::Broken, "no answer for long".to_owned())
+        let mut exchange = pin!(self.exchange(request, target, resume_after));
+        let mut end = pin!(time::sleep(Duration::from_millis(request.left_ms())));
+        let mut patience = pin!(time::sleep(Duration::from_millis(patience_ms)));
+        let mut is_patient = true;
+        loop {
+            tokio::select! {
+                biased;
+                ended = &mut exchange => return ended,
+                () = &mut end => {
+                    return Exchange::Ended(AttemptEnd::TimedOut, "no answer in time".to_owned());
                 }
-                Err(_) => Exchange::Ended(AttemptEnd::TimedOut, "no answer in time".to_owned()),
-            },
-            () = caller.departed() => Exchange::CallerLeft,
+                () = &mut patience, if is_patient => {
+                    is_patient = false;
+                    if may_move() {
+                        let reason = "no answer for long".to_owned();
+                        return Exchange::Ended(AttemptEnd::Broken, reason);
+                    }
+                }
+                () = caller.departed() => return Exchange::CallerLeft,
+            }
         }
     }
 
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -58,8 +58,10 @@
             attempts.tried.insert(target.name.clone());
             let began_ms = clock::now_ms();
             self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
-            let wait_ms = self.answer_wait_ms(request, &attempts);
-            let exchange = self.attempt(caller, request, &target, None, wait_ms).await;
+            let patience_ms = self.patience_ms(request, &attempts);
+            let may_move = || self.could_move(request, &attempts);
+            let exchange =
+                self.attempt(caller, request, &target, None, patience_ms, may_move).await;
             let now_ms = clock::now_ms();
             match exchange {
                 Exchange::CallerLeft => {
@@ -109,9 +111,17 @@
         }
     }
 
+    /// Whether another worker could be asked now.
+    pub(crate) fn could_move(&self, request: &Request, attempts: &Attempts) -> bool {
+        let hosts = self.node.known.borrow().hosts.entries_known();
+        let allows =
+            self.load.borrow_mut().retries.allows(clock::now_ms(), &request.service, hosts);
+        allows && self.next_target(request, &attempts.tried).is_some()
+    }
+
     /// How long the next answer is waited for, in milliseconds: to the end,
     /// unless another worker may run the request too.
-    pub(crate) fn answer_wait_ms(&self, request: &Request, attempts: &Attempts) -> u64 {
+    fn patience_ms(&self, request: &Request, attempts: &Attempts) -> u64 {
         let left_ms = request.left_ms();
         let state = attempts.state(request);
         if !state.kind.may_repeat() || state.ran + 1 >= state.attempts {
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -19,13 +19,16 @@
 mod target;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::seed;
+use anvillift_fleet::{InFlight, seed};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{FleetFrame, FleetHostState, FleetWorkerState};
+use anvillift_schema::fleet::{
+    FleetFrame, FleetHostState, FleetLoad, FleetServiceLoad, FleetWorkerState,
+};
 use anvillift_schema::name::Name;
 use bytes::Bytes;
 use tokio::{task, time};
@@ -44,6 +47,8 @@
 
 /// Between checks of what time alone changes.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Between two reports of the own load.
+const TELL_LOAD: Duration = Duration::from_millis(250);
 /// Shortest stay after the planned stop has begun: callers use what the
 /// directory told them for a while.
 const STAY_AT_LEAST_MS: u64 = 1_200;
@@ -83,6 +88,8 @@
         entry.node.dial_cores();
         let keeper = Rc::clone(&entry);
         task::spawn_local(async move { keeper.keep_house().await });
+        let teller = Rc::clone(&entry);
+        task::spawn_local(async move { teller.tell_load().await });
         Ok(entry)
     }
 
@@ -145,7 +152,10 @@
             FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
                 self.node.known.borrow_mut().hosts.heard(clock::now_ms(), from);
             }
-            FleetFrame::Consensus(_) | FleetFrame::WorkerSeen(_) => (),
+            FleetFrame::Loads(loads) => {
+                self.node.known.borrow_mut().loads.tell_regions(clock::now_ms(), loads);
+            }
+            FleetFrame::Consensus(_) | FleetFrame::WorkerSeen(_) | FleetFrame::Load(_) => (),
         }
     }
 
@@ -166,6 +176,40 @@
         }
     }
 
+    /// Tells the cores what this host has under way at the workers.
+    async fn tell_load(self: Rc<Self>) {
+        let mut turn = time::interval(TELL_LOAD);
+        loop {
+            turn.tick().await;
+            let load = self.own_load();
+            let Some(hub) = self.node.hub() else { continue };
+            hub.send_all(&FleetFrame::Load(load));
+        }
+    }
+
+    fn own_load(&self) -> FleetLoad {
+        let known = self.node.known.borrow();
+        let load = self.load.borrow();
+        let mut services: BTreeMap<&Name, InFlight> = BTreeMap::new();
+        for entry in known.workers.iter() {
+            let work = load.work(&entry.report.id);
+            if work.requests > 0 {
+                let sum = services.entry(&entry.report.service).or_default();
+                sum.requests += work.requests;
+                sum.unread_tokens += work.unread_tokens;
+            }
+        }
+        let service = |(service, sum): (&Name, InFlight)| FleetServiceLoad {
+            service: service.clone(),
+            requests: sum.requests,
+            unread_tokens: sum.unread_tokens,
+        };
+        FleetLoad {
+            region: self.node.settings.region.clone(),
+            services: services.into_iter().map(service).collect(),
+        }
+    }
+
     async fn keep_house(self: Rc<Self>) {
         let mut turn = time::interval(HOUSEKEEPING);
         loop {
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -81,7 +81,7 @@
         let mut outlet = Outlet::new(&answer, request, keeps);
         let mut source = Source::new(target, answer);
         loop {
-            let part = self.next_part(caller, request, &mut source, &outlet).await;
+            let part = self.next_part(caller, request, &attempts, &mut source, &outlet).await;
             let now_ms = clock::now_ms();
             match part {
                 Part::Data(data) => {
@@ -127,11 +127,13 @@
         &self,
         caller: &mut Connection,
         request: &Request,
+        attempts: &Attempts,
         source: &mut Source,
         outlet: &Outlet,
     ) -> Part {
         let left = Duration::from_millis(request.left_ms());
-        let patience = self.patience(request, outlet).map_or(left, |patience| patience.min(left));
+        let patience =
+            self.patience(request, attempts, outlet).map_or(left, |patience| patience.min(left));
         tokio::select! {
             biased;
             read = time::timeout(patience, source.next()) => match read {
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -19,8 +19,17 @@
 
 impl Entry {
     /// How long a stream that may go on elsewhere may stand still.
-    pub(super) fn patience(&self, request: &Request, outlet: &Outlet) -> Option<Duration> {
+    pub(super) fn patience(
+        &self,
+        request: &Request,
+        attempts: &Attempts,
+        outlet: &Outlet,
+    ) -> Option<Duration> {
         outlet.events.as_ref().filter(|_| outlet.has_begun())?;
+        let state = attempts.state(request);
+        if state.ran >= state.attempts || !self.could_move(request, attempts) {
+            return None;
+        }
         let pause_ms = request.route.target_gap_ms * STAND_STILL_GAPS;
         Some(Duration::from_millis(pause_ms.max(STAND_STILL_MIN_MS)))
     }
@@ -47,8 +56,8 @@
             let began_ms = clock::now_ms();
             self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
             let exchange = {
-                let (after, wait_ms) = (last_id.as_deref(), request.left_ms());
-                self.attempt(caller, request, &target, after, wait_ms).await
+                let (after, left_ms) = (last_id.as_deref(), request.left_ms());
+                self.attempt(caller, request, &target, after, left_ms, || false).await
             };
             let now_ms = clock::now_ms();
             match exchange {
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use anvillift_fleet::choose::{Candidate, Trouble};
-use anvillift_fleet::{Sharers, WorkerEntry, choose};
+use anvillift_fleet::spill::Region;
+use anvillift_fleet::{Sharers, WorkerEntry, choose, spill};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -54,7 +55,7 @@
         choose::order(&mut candidates, &request.prompt, draw);
         if request.origin == Origin::Caller
             && tried.is_empty()
-            && let Some(target) = self.keeper_elsewhere(&known, request)
+            && let Some(target) = self.better_elsewhere(&known, request)
         {
             return Some(target);
         }
@@ -137,9 +138,48 @@
         })
     }
 
+    /// Another region that serves the request better although this one could.
+    fn better_elsewhere(&self, known: &Known, request: &Request) -> Option<Target> {
+        let own = &self.node.settings.region;
+        let own_load = self.region_load(known, request, own);
+        if choose::follows(&request.prompt) {
+            return self.keeper_elsewhere(known, request, own_load);
+        }
+        let regions: BTreeSet<&Name> = self.node.settings.regions.values().collect();
+        let others = regions.into_iter().filter(|region| *region != own);
+        let others = others.filter(|region| request.route.allows_region(region));
+        let others: Vec<Region> = others
+            .filter_map(|region| {
+                let load = self.region_load(known, request, region)?;
+                Some(Region { name: region.clone(), load })
+            })
+            .collect();
+        let draw = self.load.borrow_mut().rng.random();
+        let region = spill::elsewhere(own_load?, &others, draw)?;
+        self.remote(known, request, &BTreeSet::new(), Some(region), "spill")
+    }
+
+    /// Load of a region's workers of the request's service, in batches.
+    fn region_load(&self, known: &Known, request: &Request, region: &Name) -> Option<f64> {
+        let settings = &self.node.settings;
+        let there = |entry: &&WorkerEntry| {
+            let data_centre = &entry.report.data_centre;
+            settings.region_of(data_centre) == Some(region)
+                && !known.control.evacuated.contains(data_centre)
+        };
+        let workers: Vec<_> = known.workers.ready(&request.service).filter(there).collect();
+        let slots = workers.first()?.report.slots;
+        known.loads.load(clock::now_ms(), region, &request.service, workers.len(), slots)
+    }
+
     /// An entry host of the region whose worker is most likely to keep the long
     /// shared part of a prompt: reading it again takes longer than the way there.
-    fn keeper_elsewhere(&self, known: &Known, request: &Request) -> Option<Target> {
+    fn keeper_elsewhere(
+        &self,
+        known: &Known,
+        request: &Request,
+        own_load: Option<f64>,
+    ) -> Option<Target> {
         let settings = &self.node.settings;
         let region_of = |entry: &WorkerEntry| settings.region_of(&entry.report.data_centre);
         let workers = known.workers.ready(&request.service).filter(|entry| {
@@ -151,6 +191,12 @@
         if *region == settings.region {
             return None;
         }
+        let load = self.region_load(known, request, region);
+        if let (Some(own_load), Some(load)) = (own_load, load)
+            && spill::is_too_busy(own_load, load)
+        {
+            return None;
+        }
         self.remote(known, request, &BTreeSet::new(), Some(region), "keeper")
     }
 
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use anvillift_fleet::{FleetConfiguration, HostTable, RouteTable, WorkerTable};
+use anvillift_fleet::{FleetConfiguration, HostTable, RegionLoads, RouteTable, WorkerTable};
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
@@ -27,6 +27,7 @@
 pub(crate) struct Known {
     pub(crate) hosts: HostTable,
     pub(crate) workers: WorkerTable,
+    pub(crate) loads: RegionLoads,
     pub(crate) control: FleetControl,
     /// The configuration in force here, once one has arrived.
     pub(crate) configuration: Option<Arc<FleetConfiguration>>,
@@ -72,6 +73,7 @@
         let known = Known {
             hosts,
             workers: WorkerTable::default(),
+            loads: RegionLoads::default(),
             control: anvillift_fleet::ControlMachine::default().state().clone(),
             configuration: None,
             routes: RouteTable::default(),
