Judge a busy region by the same difference in both directions

Change: one difference for both decisions. Before: 1 of 41 tests of the fleet failed. After: 41 pass.

--- a/crates/anvillift-fleet/src/spill.rs
+++ b/crates/anvillift-fleet/src/spill.rs
@@ -37,5 +37,5 @@
 
 /// Whether a region is too busy to be sent what only goes there to save work.
 pub fn is_too_busy(own_load: f64, other_load: f64) -> bool {
-    other_load > BUSY && other_load > own_load + 2.0 * CLEARLY_LESS
+    other_load > BUSY && other_load > own_load + CLEARLY_LESS
 }
