Compute rankings of hosts and workers in one place

Cause: three rendezvous hashes stood in membership, routing and the fleet, two of them with the same mixing function; gateway.rs allowed dead code that is not dead. Ruled out: one crate depending on another for it; the schema's crate is below all. Change: anvillift_schema::rendezvous; the allowance is gone.

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -7,10 +7,10 @@
 //! Everything else goes to the less loaded of the candidates.
 
 use anvillift_schema::name::Name;
+use anvillift_schema::rendezvous;
 
 use crate::in_flight::InFlight;
 use crate::prompt::Prompt;
-use crate::seed;
 
 /// Shared parts shorter than this are cheaper to read again than to follow, in tokens.
 const FOLLOWED_TOKENS: u64 = 1_000;
@@ -30,12 +30,7 @@
     if !follows(prompt) {
         return None;
     }
-    workers.max_by_key(|worker| rank(worker, prompt.shared_id))
-}
-
-/// Rank of a worker for a key; every host computes it alike.
-fn rank(worker: &str, key: u64) -> u64 {
-    seed::mix(key ^ seed::hash(worker.as_bytes()))
+    workers.max_by_key(|worker| rendezvous::rank(prompt.shared_id, worker))
 }
 
 /// How much a worker is to be avoided.
@@ -82,7 +77,7 @@
 
 /// The candidates in the order in which they are to be tried. `draw` breaks ties.
 pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
-    let rank = |candidate: &Candidate, key: u64| rank(&candidate.worker, key);
+    let rank = |candidate: &Candidate, key: u64| rendezvous::rank(key, &candidate.worker);
     candidates.sort_by(|left, right| {
         let avoid = |candidate: &Candidate| (candidate.trouble, candidate.is_cold);
         let load = left.load().total_cmp(&right.load());
--- a/crates/anvillift-fleet/src/cold_share.rs
+++ b/crates/anvillift-fleet/src/cold_share.rs
@@ -8,8 +8,8 @@
 use std::collections::BTreeMap;
 
 use anvillift_schema::name::Name;
+use anvillift_schema::rendezvous;
 
-use crate::seed;
 use crate::window::Window;
 
 /// Longer than a second, since requests spread on their way.
@@ -39,8 +39,8 @@
         if part > 0 || !self.is_settled {
             return part;
         }
-        let rank =
-            |host: &str| seed::mix(seed::hash(host.as_bytes()) ^ seed::hash(worker.as_bytes()));
+        let key = rendezvous::hash(worker.as_bytes());
+        let rank = |host: &str| rendezvous::rank(key, host);
         let own = rank(self.me);
         let before = self.hosts.iter().filter(|host| rank(host) < own).count();
         usize::from((before as f64) < limit.floor())
--- a/crates/anvillift-gateway/src/gateway.rs
+++ b/crates/anvillift-gateway/src/gateway.rs
@@ -44,7 +44,6 @@
     pub(crate) admission: AdmissionState,
     pub(crate) burn: BurnRecorder,
     pub(crate) control: Control,
-    #[allow(dead_code)]
     pub(crate) commands: Commands,
     pub(crate) draining: AtomicBool,
     pub(crate) ready: AtomicBool,
--- a/crates/anvillift-membership/src/links.rs
+++ b/crates/anvillift-membership/src/links.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use anvillift_schema::name::Name;
+use anvillift_schema::rendezvous;
 use anvillift_schema::settings::PeerSettings;
 
 use crate::rank;
@@ -91,17 +92,8 @@
 /// Whether `from` has chosen `to`, a host of another data centre.
 fn forwards_through(from: &Name, to: &Name, centre: &Name, centres: &Centres) -> bool {
     let Some(hosts) = centres.get(centre) else { return false };
-    let weight = weight(from, to);
-    let heavier = hosts.iter().filter(|host| self::weight(from, host) > weight);
+    let key = rendezvous::hash(from.as_bytes());
+    let weight = rendezvous::rank(key, to);
+    let heavier = hosts.iter().filter(|host| rendezvous::rank(key, host) > weight);
     heavier.count() < FORWARD_HOSTS
 }
-
-fn weight(from: &Name, to: &Name) -> [u8; 8] {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(from.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(to.as_bytes());
-    let mut weight = [0; 8];
-    weight.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    weight
-}
--- a/crates/anvillift-routing/src/team_limit.rs
+++ b/crates/anvillift-routing/src/team_limit.rs
@@ -9,6 +9,7 @@
 
 use anvillift_schema::configuration::Team;
 use anvillift_schema::name::Name;
+use anvillift_schema::rendezvous;
 
 use crate::team_bucket::{Allowance, BucketRate, TeamBucket};
 
@@ -73,7 +74,7 @@
     /// The hosts of a data centre that are alive, the own included.
     pub fn new(hosts: impl IntoIterator<Item = Name>) -> Self {
         let hashed = |host: Name| {
-            let hash = hash(&host);
+            let hash = rendezvous::hash(host.as_bytes());
             (host, hash)
         };
         Self { hosts: hosts.into_iter().map(hashed).collect() }
@@ -91,8 +92,8 @@
 
     /// Owner of a team's bucket: the host whose hash mixed with the team's is highest.
     pub fn owner(&self, team: &Name) -> Option<&Name> {
-        let team = hash(team);
-        let highest = self.hosts.iter().max_by_key(|(_, host)| mix(team ^ host));
+        let team = rendezvous::hash(team.as_bytes());
+        let highest = self.hosts.iter().max_by_key(|(_, host)| rendezvous::mix(team ^ host));
         highest.map(|(host, _)| host)
     }
 }
@@ -242,16 +243,3 @@
 fn limited_tokens(rate: &BucketRate, tokens: u64) -> u64 {
     tokens.min(rate.tokens_per_s * u64::from(rate.burst_s.max(1)))
 }
-
-fn hash(name: &Name) -> u64 {
-    let mut head = [0; 8];
-    head.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_be_bytes(head)
-}
-
-/// Spreads each bit over all (the finalizer of SplitMix64).
-fn mix(mut bits: u64) -> u64 {
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
-}
--- a/crates/anvillift-schema/src/lib.rs
+++ b/crates/anvillift-schema/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod generated;
 pub mod name;
 pub mod payload;
+pub mod rendezvous;
 
 pub use generated::{
     burn, configuration, consensus, fleet, ledger, link, membership, operators, public, settings,
