Bound the bodies held, spread returns, and drop voters that were never heard

Cause: read from the code: 4 MiB bodies times open connections against 260 MB; all callers refused in a moment were told the same time to come back; a core that was replaced for good before a change of leader stayed a voter for ever, since the new leader had never heard it. Ruled out: streaming bodies to workers, which would bind an attempt before the request is whole. Change: 80 MB of bodies at once, then 1302 with a time to come back; Retry-After spread by 0.75 to 1.5; silence counts from the start of the leadership. Before: a_voter_that_was_never_heard_is_removed_in_time and bodies_beyond_the_memory_are_refused could not pass. After: both pass, 46 tests of the fleet and 41 of the platform.

--- a/crates/anvillift-fleet/src/core_roster.rs
+++ b/crates/anvillift-fleet/src/core_roster.rs
@@ -23,9 +23,22 @@
     Remove(Voter),
 }
 
+/// What the leader sees of the hosts.
+#[derive(Clone, Copy, Debug)]
+pub struct Sight<'a> {
+    /// Hosts.
+    pub hosts: &'a HostTable,
+    /// Now.
+    pub now_ms: u64,
+    /// How long this host has led: a voter that it has never heard has been
+    /// silent for that long at least.
+    pub led_ms: u64,
+}
+
 /// The next change, if there is one to be made.
-pub fn next_change(hosts: &HostTable, now_ms: u64, voters: &VoterSet) -> Option<RosterChange> {
-    if let Some(learner) = voters.learners.iter().find(|learner| is_gone(hosts, now_ms, learner)) {
+pub fn next_change(sight: &Sight<'_>, voters: &VoterSet) -> Option<RosterChange> {
+    let Sight { hosts, now_ms, .. } = *sight;
+    if let Some(learner) = voters.learners.iter().find(|learner| is_gone(sight, learner)) {
         return Some(RosterChange::Remove(learner.clone()));
     }
     if !voters.learners.is_empty() {
@@ -41,8 +54,8 @@
     if let Some((host, _)) = hosts.iter(now_ms).find(joins) {
         return Some(RosterChange::Add(replica(host)));
     }
-    let present = voters.voters.iter().filter(|voter| !is_gone(hosts, now_ms, voter)).count();
-    let gone = voters.voters.iter().find(|voter| is_gone(hosts, now_ms, voter))?;
+    let present = voters.voters.iter().filter(|voter| !is_gone(sight, voter)).count();
+    let gone = voters.voters.iter().find(|voter| is_gone(sight, voter))?;
     let removable = present >= MIN_VOTERS && voters.voters.len() > MIN_VOTERS;
     removable.then(|| RosterChange::Remove(gone.clone()))
 }
@@ -52,8 +65,9 @@
 }
 
 /// Whether a replica is silent, or its host has come back with another disk.
-fn is_gone(hosts: &HostTable, now_ms: u64, voter: &Voter) -> bool {
-    let Some(host) = hosts.get(&voter.host) else { return false };
-    let silent_ms = hosts.silent_ms(now_ms, &voter.host).unwrap_or(0);
-    host.storage_id != voter.storage_id || silent_ms >= REMOVE_AFTER_MS
+fn is_gone(sight: &Sight<'_>, voter: &Voter) -> bool {
+    let host = sight.hosts.get(&voter.host);
+    let has_another_disk = host.is_some_and(|host| host.storage_id != voter.storage_id);
+    let silent_ms = sight.hosts.silent_ms(sight.now_ms, &voter.host).unwrap_or(sight.led_ms);
+    has_another_disk || silent_ms >= REMOVE_AFTER_MS
 }
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -1,7 +1,7 @@
 //! What a core host tells the others.
 
 use anvillift_fleet::core_roster;
-use anvillift_fleet::core_roster::RosterChange;
+use anvillift_fleet::core_roster::{RosterChange, Sight};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetHostRole, FleetHosts};
 use anvillift_schema::name::Name;
@@ -113,9 +113,17 @@
         if !self.log.leads() || self.node.is_leaving() {
             return;
         }
-        let voters = self.log.status().voters;
-        let now_ms = clock::now_ms();
-        let change = core_roster::next_change(&self.node.known.borrow().hosts, now_ms, &voters);
+        let status = self.log.status();
+        let (voters, led) = (&status.voters, status.led_for().unwrap_or_default());
+        let change = {
+            let known = self.node.known.borrow();
+            let sight = Sight {
+                hosts: &known.hosts,
+                now_ms: clock::now_ms(),
+                led_ms: led.as_millis() as u64,
+            };
+            core_roster::next_change(&sight, voters)
+        };
         let (replica, changed) = match &change {
             None => return,
             Some(RosterChange::Add(replica)) => (replica, self.log.add(replica.clone()).await),
--- a/crates/anvillift-node/src/entry/final_answer.rs
+++ b/crates/anvillift-node/src/entry/final_answer.rs
@@ -3,6 +3,7 @@
 use anvillift_fleet::verdict::Final;
 use anvillift_schema::code::Code;
 use anvillift_schema::public::Outcome;
+use rand::Rng;
 
 use crate::entry::Entry;
 use crate::entry::attempt::NOT_RUN_THERE;
@@ -56,7 +57,11 @@
             reply.headers.push(NOT_RUN_THERE, "1");
         }
         match given_up.retry_after_ms {
-            Some(retry_after_ms) => reply.retry_after_ms(retry_after_ms),
+            Some(retry_after_ms) => {
+                // Callers that are refused together should not return together.
+                let spread = self.load.borrow_mut().rng.random_range(0.75..1.5);
+                reply.retry_after_ms((retry_after_ms as f64 * spread) as u64)
+            }
             None => reply,
         }
     }
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -1,5 +1,6 @@
 //! Connections of callers, and of hosts that pass requests on.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,25 @@
 /// Longest time for a body, in milliseconds.
 const BODY_WITHIN_MS: u64 = 10_000;
 
+/// Bodies held in memory at once, in bytes; the process has a few times that.
+const MAX_HELD_BYTES: u64 = 80 * 1024 * 1024;
+/// Set aside for a body whose length isn't stated, in bytes.
+const CHUNKED_BYTES: u64 = 256 * 1024;
+/// When to come back while bodies fill the memory, in milliseconds.
+const OVERLOADED_RETRY_MS: u64 = 500;
+
+/// Memory set aside for a body, until it is dropped.
+struct HeldBody<'a> {
+    total_bytes: &'a Cell<u64>,
+    held_bytes: u64,
+}
+
+impl Drop for HeldBody<'_> {
+    fn drop(&mut self) {
+        self.total_bytes.set(self.total_bytes.get() - self.held_bytes);
+    }
+}
+
 /// Who sends requests over a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
 pub(crate) enum Origin {
@@ -74,7 +94,22 @@
             Err(_) => return self.refuse(connection, Code::SlowSender, "the head").await,
         };
         let arrived_ms = clock::now_ms();
-        let body = match self.read_body(connection, &head, limits.body_bytes).await {
+        let framing = match Framing::of_request(&head) {
+            Ok(framing) => framing,
+            Err(error) => return self.refuse_head(connection, &error).await,
+        };
+        let wanted_bytes = match framing {
+            Framing::Length(bytes) if bytes > limits.body_bytes => {
+                return self.refuse(connection, Code::BodyTooLarge, "the stated length").await;
+            }
+            Framing::Length(bytes) => bytes,
+            Framing::Chunked | Framing::UntilClose => CHUNKED_BYTES,
+            Framing::None => 0,
+        };
+        let Some(_held) = self.hold_body(wanted_bytes) else {
+            return self.refuse(connection, Code::Overloaded, "bodies fill the memory").await;
+        };
+        let body = match self.read_body(connection, &head, framing, limits.body_bytes).await {
             Ok(body) => body,
             Err(next) => return next,
         };
@@ -84,6 +119,16 @@
         next
     }
 
+    /// Sets memory aside for a body, if there is room.
+    fn hold_body(&self, wanted_bytes: u64) -> Option<HeldBody<'_>> {
+        let held_bytes = self.held_body_bytes.get() + wanted_bytes;
+        if held_bytes > MAX_HELD_BYTES {
+            return None;
+        }
+        self.held_body_bytes.set(held_bytes);
+        Some(HeldBody { total_bytes: &self.held_body_bytes, held_bytes: wanted_bytes })
+    }
+
     async fn serve_request(
         &self,
         connection: &mut Connection,
@@ -121,15 +166,11 @@
         &self,
         connection: &mut Connection,
         head: &RequestHead,
+        framing: Framing,
         limit_bytes: u64,
     ) -> Result<Option<Bytes>, Next> {
-        let framing = match Framing::of_request(head) {
-            Ok(Framing::None) => return Ok(None),
-            Ok(framing) => framing,
-            Err(error) => return Err(self.refuse_head(connection, &error).await),
-        };
-        if matches!(framing, Framing::Length(bytes) if bytes > limit_bytes) {
-            return Err(self.refuse(connection, Code::BodyTooLarge, "the stated length").await);
+        if framing == Framing::None {
+            return Ok(None);
         }
         if head.headers.has_token("expect", "100-continue")
             && connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
@@ -161,7 +202,10 @@
             event = Event::RequestUnreadable.number(), code = code.number();
             "unreadable: {detail}"
         );
-        let reply = self.node.coded(code, &format!("{}: {detail}", code.title()));
+        let mut reply = self.node.coded(code, &format!("{}: {detail}", code.title()));
+        if code == Code::Overloaded {
+            reply = reply.retry_after_ms(OVERLOADED_RETRY_MS);
+        }
         self.reply(connection, reply, false).await
     }
 
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -65,6 +65,8 @@
     pub(crate) started_ms: u64,
     /// Requests that are being served.
     pub(crate) in_service: Cell<u64>,
+    /// Bodies held in memory, in bytes.
+    pub(crate) held_body_bytes: Cell<u64>,
     /// When the planned stop began.
     pub(crate) leaving_since_ms: Cell<Option<u64>>,
 }
@@ -82,6 +84,7 @@
             pool: Pool::new(),
             started_ms: clock::now_ms(),
             in_service: Cell::new(0),
+            held_body_bytes: Cell::new(0),
             leaving_since_ms: Cell::new(None),
         });
         entry.listen()?;
