Send a configuration packed and once, and keep a slow stream until another goes on

Ruled out: the rolled restart (the request's hosts were not stopped), the engine (it had ended the run well at 23.5 s). Change: cores tell that they have a state, an entry host asks one of them, another after 0.45 s; documents are deflated in the log and on the links; a stream that stands still keeps its worker until another has answered. Nothing is begun 2.5 s after a planned stop.

--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod cold;
+mod control;
 mod core_roster;
 mod directory;
 mod health;
--- a/crates/anvillift-node/src/core/calls.rs
+++ b/crates/anvillift-node/src/core/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use anvillift_fleet::directory;
+use anvillift_fleet::{directory, document};
 use anvillift_http::RequestHead;
 use anvillift_replication::ProposeError;
 use anvillift_schema::code::Code;
@@ -56,9 +56,13 @@
                 if version <= self.log.state().version {
                     return Reply::new(200, b"{}".to_vec());
                 }
-                let document = body.to_vec().into();
-                let replace = ReplaceConfiguration { version, document };
-                self.commit(head, FleetCommand::Replace(replace)).await
+                match document::pack(body) {
+                    Ok(packed) => {
+                        let replace = ReplaceConfiguration { version, document: packed.into() };
+                        self.commit(head, FleetCommand::Replace(replace)).await
+                    }
+                    Err(error) => self.node.coded(Code::Internal, &error.to_string()),
+                }
             }
             ControlCall::Evacuate { data_centre, active } => {
                 let evacuate = EvacuateDataCentre { data_centre, active };
@@ -88,7 +92,10 @@
                 if state.version == 0 {
                     return self.unavailable(Code::NotReady, "there is no configuration yet");
                 }
-                Reply::new(200, state.document.to_vec())
+                match document::unpack(&state.document) {
+                    Ok(document) => Reply::new(200, document),
+                    Err(error) => self.node.coded(Code::Internal, &error.to_string()),
+                }
             }
             Ok(Err(error)) => self.elsewhere(head, &error),
             Err(_) => {
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -3,7 +3,9 @@
 use anvillift_fleet::core_roster;
 use anvillift_fleet::core_roster::{RosterChange, Sight};
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetHostRole, FleetHosts};
+use anvillift_schema::fleet::{
+    FleetControl, FleetControlNews, FleetFrame, FleetHost, FleetHostRole, FleetHosts,
+};
 use anvillift_schema::name::Name;
 
 use crate::clock;
@@ -15,13 +17,18 @@
 /// holds, in milliseconds.
 const SHOW_ALONE_AFTER_MS: u64 = 3_000;
 
+/// Tells of a state of control without its document.
+fn news(control: &FleetControl) -> FleetFrame {
+    FleetFrame::ControlNews(FleetControlNews { index: control.index, version: control.version })
+}
+
 impl Core {
     /// Frames for a host whose link has come up.
     pub(super) fn on_link_up(&self, _name: &Name) -> Vec<FleetFrame> {
         let known = self.node.known.borrow();
         let mut frames = vec![self.hosts_frame()];
         if known.control.index > 0 {
-            frames.push(FleetFrame::Control(known.control.clone()));
+            frames.push(news(&known.control));
         }
         let (now_ms, interval_ms) = (clock::now_ms(), self.node.settings.report_interval_ms);
         let told = known.workers.iter().map(|entry| entry.as_told(now_ms, interval_ms));
@@ -101,7 +108,7 @@
             if self.node.adopt_control(state.clone()) {
                 for name in self.linked(FleetHostRole::Entry) {
                     if let Some(hub) = self.node.hub() {
-                        hub.send(&name, FleetFrame::Control(state.clone()));
+                        hub.send(&name, news(&state));
                     }
                 }
             }
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -113,8 +113,14 @@
                 let now_ms = crate::clock::now_ms();
                 self.node.known.borrow_mut().loads.tell_host(now_ms, from, load);
             }
+            FleetFrame::ControlWanted(_) => {
+                let control = self.node.known.borrow().control.clone();
+                if let Some(hub) = self.node.hub() {
+                    hub.send(from, FleetFrame::Control(control));
+                }
+            }
             // Cores learn control from the log, and add up the loads themselves.
-            FleetFrame::Control(_) | FleetFrame::Loads(_) => (),
+            FleetFrame::Control(_) | FleetFrame::ControlNews(_) | FleetFrame::Loads(_) => (),
         }
     }
 
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -12,10 +12,9 @@
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 
-/// After this part of the grace, streams that may outlast it are not begun.
-const STREAMS_UNTIL_MS: u64 = 2_500;
-/// Kept of the grace for the last requests to end, in milliseconds.
-const PLAIN_UNTIL_END_MS: u64 = 3_000;
+/// Time after the planned stop began from which nothing new is begun, since it
+/// might outlast the grace, in milliseconds.
+const BEGIN_UNTIL_MS: u64 = 2_500;
 
 impl Entry {
     /// Finds the route of a request, and its time.
@@ -38,7 +37,7 @@
         let Some(id) = head.headers.get(names.request_id).map(str::to_owned) else {
             return Err(GivenUp::NO_ID);
         };
-        if self.is_too_late_to_begin(route.kind.is_stream()) {
+        if self.is_too_late_to_begin() {
             return Err(GivenUp::LEAVING);
         }
         let asked_ms = head.headers.get(names.deadline_ms).and_then(|text| text.parse().ok());
@@ -77,13 +76,9 @@
     }
 
     /// Whether a request that begins now would be cut by the planned stop.
-    fn is_too_late_to_begin(&self, is_stream: bool) -> bool {
+    fn is_too_late_to_begin(&self) -> bool {
         let Some(since_ms) = self.leaving_since_ms.get() else { return false };
-        let grace_ms = self.node.settings.grace_ms;
-        let until_ms = match is_stream {
-            true => STREAMS_UNTIL_MS.min(grace_ms),
-            false => grace_ms.saturating_sub(PLAIN_UNTIL_END_MS),
-        };
+        let until_ms = BEGIN_UNTIL_MS.min(self.node.settings.grace_ms / 2);
         clock::now_ms() > since_ms + until_ms
     }
 }
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -23,11 +23,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{InFlight, seed};
+use anvillift_fleet::{ControlPull, InFlight, seed};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetFrame, FleetHostState, FleetLoad, FleetServiceLoad, FleetWorkerState,
+    FleetControlNews, FleetFrame, FleetHostState, FleetLoad, FleetServiceLoad, FleetWorkerState,
 };
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -62,6 +62,7 @@
     pub(crate) node: Rc<Node>,
     pub(crate) load: RefCell<Load>,
     pub(crate) pool: Rc<Pool>,
+    control_pull: RefCell<ControlPull>,
     pub(crate) started_ms: u64,
     /// Requests that are being served.
     pub(crate) in_service: Cell<u64>,
@@ -82,6 +83,7 @@
             node,
             load,
             pool: Pool::new(),
+            control_pull: RefCell::default(),
             started_ms: clock::now_ms(),
             in_service: Cell::new(0),
             held_body_bytes: Cell::new(0),
@@ -151,6 +153,13 @@
                     self.node.set_state(FleetHostState::Ready);
                 }
             }
+            FleetFrame::ControlNews(news) => {
+                let held_index = self.node.known.borrow().control.index;
+                let mut pull = self.control_pull.borrow_mut();
+                if pull.on_news(clock::now_ms(), from, news.index, held_index) {
+                    self.want_control(from);
+                }
+            }
             FleetFrame::Worker(report) => self.on_worker(from, report),
             FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
                 self.node.known.borrow_mut().hosts.heard(clock::now_ms(), from);
@@ -158,7 +167,19 @@
             FleetFrame::Loads(loads) => {
                 self.node.known.borrow_mut().loads.tell_regions(clock::now_ms(), loads);
             }
-            FleetFrame::Consensus(_) | FleetFrame::WorkerSeen(_) | FleetFrame::Load(_) => (),
+            FleetFrame::Consensus(_)
+            | FleetFrame::ControlWanted(_)
+            | FleetFrame::WorkerSeen(_)
+            | FleetFrame::Load(_) => (),
+        }
+    }
+
+    /// Asks a core for its state of control.
+    fn want_control(&self, core: &Name) {
+        let known = self.node.known.borrow();
+        let held = FleetControlNews { index: known.control.index, version: known.control.version };
+        if let Some(hub) = self.node.hub() {
+            hub.send(core, FleetFrame::ControlWanted(held));
         }
     }
 
@@ -220,6 +241,11 @@
             let now_ms = clock::now_ms();
             self.node.dial_cores();
             self.pool.prune(now_ms);
+            let held_index = self.node.known.borrow().control.index;
+            let again = self.control_pull.borrow_mut().ask_again(now_ms, held_index);
+            if let Some(core) = again {
+                self.want_control(&core);
+            }
             let mut known = self.node.known.borrow_mut();
             let me = self.node.me();
             known.hosts.heard(now_ms, &me.name);
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -49,6 +49,8 @@
     Data(Bytes),
     End,
     Broken(String),
+    /// Nothing has come for long, and another worker could go on.
+    StandsStill,
     TimedOut,
     CallerLeft,
 }
@@ -60,6 +62,9 @@
     keeps: bool,
     pub(super) events: Option<EventSplitter>,
     pub(super) passed_on_ms: Option<u64>,
+    /// Whether the stream may still be moved where it stands still; it is
+    /// tried once.
+    pub(super) may_move: bool,
     /// Parts passed on, and the longest pause between two of them.
     parts: u64,
     longest_pause_ms: u64,
@@ -107,6 +112,16 @@
                     caller.reset_on_drop();
                     return Next::Close;
                 }
+                Part::StandsStill => {
+                    outlet.may_move = false;
+                    let moved = self.resume(caller, request, &mut attempts, &mut outlet).await;
+                    if let Some(next) = moved {
+                        log_broken(request, &source.target, "the stream stood still");
+                        self.load.borrow_mut().end(now_ms, &source.target.name, Some(false));
+                        // What is dropped here ends the work of the worker before.
+                        source = next;
+                    }
+                }
                 Part::Broken(reason) => {
                     log_broken(request, &source.target, &reason);
                     self.load.borrow_mut().end(now_ms, &source.target.name, Some(false));
@@ -142,7 +157,7 @@
                 Ok(Ok(None)) => Part::Broken("the stream ended inside an event".to_owned()),
                 Ok(Err(error)) => Part::Broken(error.to_string()),
                 Err(_) if request.left_ms() == 0 => Part::TimedOut,
-                Err(_) => Part::Broken("the stream stands still".to_owned()),
+                Err(_) => Part::StandsStill,
             },
             () = caller.departed() => Part::CallerLeft,
         }
@@ -207,6 +222,7 @@
             keeps,
             events,
             passed_on_ms: None,
+            may_move: true,
             parts: 0,
             longest_pause_ms: 0,
             last_part_ms: 0,
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -25,7 +25,7 @@
         attempts: &Attempts,
         outlet: &Outlet,
     ) -> Option<Duration> {
-        outlet.events.as_ref().filter(|_| outlet.has_begun())?;
+        outlet.events.as_ref().filter(|_| outlet.has_begun() && outlet.may_move)?;
         let state = attempts.state(request);
         if state.ran >= state.attempts || !self.could_move(request, attempts) {
             return None;
@@ -43,7 +43,6 @@
         outlet: &mut Outlet,
     ) -> Option<Source> {
         let events = outlet.events.as_mut()?;
-        events.drop_partial();
         let last_id = events.last_id().map(str::to_owned);
         let mut end = AttemptEnd::Broken;
         loop {
@@ -63,6 +62,7 @@
             match exchange {
                 Exchange::Answered(answer) if answer.head.status == 200 => {
                     attempts.ran += 1;
+                    events.drop_partial();
                     self.load.borrow_mut().answered(now_ms, &target.name, &request.prompt);
                     log_attempt(request, &target, began_ms, "resumed", "");
                     return Some(Source::new(target, *answer));
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -4,7 +4,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use anvillift_fleet::{FleetConfiguration, HostTable, RegionLoads, RouteTable, WorkerTable};
+use anvillift_fleet::{
+    ConfigurationError, FleetConfiguration, HostTable, RegionLoads, RouteTable, WorkerTable,
+    document,
+};
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
@@ -186,12 +189,18 @@
         Reply::new(code.status(), (self.dialect.encode_error)(&text))
     }
 
+    fn decode(&self, control: &FleetControl) -> Result<FleetConfiguration, ConfigurationError> {
+        let document = document::unpack(&control.document)
+            .map_err(|error| ConfigurationError::Unreadable { reason: error.to_string() })?;
+        (self.dialect.decode_configuration)(&document)
+    }
+
     /// Puts a newer state of control in force; whether it was newer.
     pub(crate) fn adopt_control(&self, control: FleetControl) -> bool {
         if control.index <= self.known.borrow().control.index {
             return false;
         }
-        let decoded = (self.dialect.decode_configuration)(&control.document);
+        let decoded = self.decode(&control);
         let mut known = self.known.borrow_mut();
         if control.version > 0 {
             match decoded {
