--- a/crates/anvillift-consensus/src/election.rs
+++ b/crates/anvillift-consensus/src/election.rs
@@ -10,10 +10,21 @@
 use crate::replica::Replica;
 use crate::role::{Candidacy, Role};
 
+/// Part of a step that is drawn by lot.
+const STEP_SPREAD: u64 = 4;
+
 impl Replica {
     pub(crate) fn reset_election_due(&mut self, now_ms: u64) {
-        let spread_ms = self.settings.election_timeout_ms;
-        self.election_due_ms = now_ms + spread_ms + self.rng.random_range(0..spread_ms);
+        let (timeout_ms, step_ms) =
+            (self.settings.election_timeout_ms, self.settings.election_step_ms);
+        let rank = self.log.voters().voters.iter().position(|voter| *voter == self.identity);
+        let further_ms = match rank {
+            Some(rank) if step_ms > 0 => {
+                rank as u64 * step_ms + self.rng.random_range(0..=step_ms / STEP_SPREAD)
+            }
+            _ => self.rng.random_range(0..timeout_ms),
+        };
+        self.election_due_ms = now_ms + timeout_ms + further_ms;
     }
 
     pub(crate) fn tick_election(&mut self, now_ms: u64) {
--- a/crates/anvillift-consensus/src/settings.rs
+++ b/crates/anvillift-consensus/src/settings.rs
@@ -11,6 +11,11 @@
     pub form_voters: Vec<Name>,
     /// Shortest election timeout, in milliseconds.
     pub election_timeout_ms: u64,
+    /// Further wait of each voter behind the one before it, in milliseconds.
+    /// Voters that lost their leader together then stand one after the other
+    /// and don't split the vote; it should exceed the time of a trial and a
+    /// vote. At 0 each draws its wait from a span of an election timeout.
+    pub election_step_ms: u64,
     /// Between heartbeats of the leader, in milliseconds.
     pub heartbeat_ms: u64,
     /// Taken off the lease for clocks that run at different rates, in thousandths.
@@ -36,6 +41,7 @@
             group: Name::default(),
             form_voters: Vec::new(),
             election_timeout_ms: 1_000,
+            election_step_ms: 0,
             heartbeat_ms: 200,
             clock_drift_milli: 50,
             trailing_entries: 1_000,
--- a/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
@@ -18,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 
 pub(crate) const ELECTION_TIMEOUT_MS: u64 = 100;
-const TICK_MS: u64 = 10;
+pub(crate) const TICK_MS: u64 = 10;
 const MAX_PENDING: usize = 400;
 
 /// What a node has written.
--- a/crates/anvillift-consensus/tests/testsuite/leadership.rs
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 
-use crate::harness::{Cluster, ELECTION_TIMEOUT_MS};
+use crate::harness::{Cluster, ELECTION_TIMEOUT_MS, TICK_MS};
 
 const SEED: u64 = 7;
 /// Longest repair, in ticks.
@@ -331,3 +331,24 @@
     });
     assert_eq!(replica(&cluster, &follower).status().last_index, before.last_index);
 }
+
+/// The pattern: all voters lose power together and start in the same moment. With
+/// waits by lot they split the vote in a quarter of the cases.
+#[test]
+fn voters_that_start_together_stand_one_after_the_other() {
+    const STEP_MS: u64 = 100;
+    const WITHIN_TICKS: u64 = (ELECTION_TIMEOUT_MS + 2 * STEP_MS) / TICK_MS;
+    for seed in 0..200 {
+        let (mut cluster, _) = working(5, seed);
+        cluster.settings.election_step_ms = STEP_MS;
+        let names: Vec<Name> = cluster.nodes.keys().cloned().collect();
+        for name in &names {
+            cluster.stop(name);
+        }
+        for name in &names {
+            cluster.start(name);
+        }
+        cluster.run(WITHIN_TICKS as u32);
+        assert!(cluster.leader().is_some(), "seed {seed}: no leader");
+    }
+}
--- a/crates/anvillift-gateway/src/commands/groups.rs
+++ b/crates/anvillift-gateway/src/commands/groups.rs
@@ -105,6 +105,7 @@
         timing: GroupTiming {
             election_timeout_ms,
             heartbeat_ms: (election_timeout_ms / HEARTBEATS_PER_ELECTION).max(1),
+            ..GroupTiming::default()
         },
         replace_restarted: true,
         seed: Uuid::new_v4().as_u64_pair().0,
--- a/crates/anvillift-gateway/src/control/group.rs
+++ b/crates/anvillift-gateway/src/control/group.rs
@@ -50,6 +50,7 @@
         timing: GroupTiming {
             election_timeout_ms,
             heartbeat_ms: election_timeout_ms / HEARTBEATS_PER_ELECTION_TIMEOUT,
+            ..GroupTiming::default()
         },
         snapshot_entries: storage.snapshot_entries,
         replace_restarted: false,
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -30,8 +30,10 @@
 const FORMING_FILE: &str = "forming";
 /// Entries between snapshots; entries hold whole configurations.
 const SNAPSHOT_ENTRIES: u64 = 32;
-/// Election timeout and heartbeat; a message crosses regions in tens of milliseconds.
-const TIMING: GroupTiming = GroupTiming { election_timeout_ms: 500, heartbeat_ms: 125 };
+/// A message crosses regions in tens of milliseconds, so a trial and a vote are
+/// over within a step.
+const TIMING: GroupTiming =
+    GroupTiming { election_timeout_ms: 500, election_step_ms: 200, heartbeat_ms: 125 };
 /// Before a failed storage is opened again.
 const REOPEN_AFTER: Duration = Duration::from_millis(700);
 
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -267,6 +267,7 @@
         group: settings.group.clone(),
         form_voters: settings.voters.clone(),
         election_timeout_ms: settings.timing.election_timeout_ms,
+        election_step_ms: settings.timing.election_step_ms,
         heartbeat_ms: settings.timing.heartbeat_ms,
         replace_restarted: settings.replace_restarted,
         ..ReplicaSettings::default()
--- a/crates/anvillift-replication/src/settings.rs
+++ b/crates/anvillift-replication/src/settings.rs
@@ -14,13 +14,16 @@
 pub struct GroupTiming {
     /// Shortest election timeout, in milliseconds.
     pub election_timeout_ms: u64,
+    /// Further wait of each voter behind the one before it, in milliseconds;
+    /// 0 where each draws its wait by lot.
+    pub election_step_ms: u64,
     /// Between heartbeats of the leader, in milliseconds.
     pub heartbeat_ms: u64,
 }
 
 impl Default for GroupTiming {
     fn default() -> Self {
-        Self { election_timeout_ms: 1_000, heartbeat_ms: 200 }
+        Self { election_timeout_ms: 1_000, election_step_ms: 0, heartbeat_ms: 200 }
     }
 }
 
--- a/crates/anvillift-replication/tests/testsuite/support.rs
+++ b/crates/anvillift-replication/tests/testsuite/support.rs
@@ -80,7 +80,11 @@
             voters: self.names.clone(),
             replace_restarted: opened.is_none(),
             storage: opened,
-            timing: GroupTiming { election_timeout_ms: 300, heartbeat_ms: 50 },
+            timing: GroupTiming {
+                election_timeout_ms: 300,
+                heartbeat_ms: 50,
+                ..GroupTiming::default()
+            },
             snapshot_entries: 50,
             seed: self.starts,
         };
