Share the accounts of attempts between forwarding and resuming

Ruled out: nothing. Change: begin, close and note_answer of an attempt stand once; relay gives up a worker in one place.

--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -27,6 +27,12 @@
     pub(crate) ran: u32,
 }
 
+/// An attempt that has been begun.
+pub(crate) struct Begun {
+    pub(crate) target: Target,
+    began_ms: u64,
+}
+
 impl Attempts {
     pub(crate) fn state(&self, request: &Request) -> RequestState {
         let is_passed_on = request.origin == Origin::Host;
@@ -54,42 +60,30 @@
                 let end = if attempts.ran > 0 { Final::Unknown } else { Final::Refused };
                 return self.end(caller, request, &attempts, end, keeps).await;
             };
-            attempts.sent += 1;
-            attempts.tried.insert(target.name.clone());
-            let began_ms = clock::now_ms();
-            self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
+            let begun = self.begin(request, &mut attempts, target);
             let patience_ms = self.patience_ms(request, &attempts);
             let may_move = || self.could_move(request, &attempts);
             let exchange =
-                self.attempt(caller, request, &target, None, patience_ms, may_move).await;
-            let now_ms = clock::now_ms();
+                self.attempt(caller, request, &begun.target, None, patience_ms, may_move).await;
             match exchange {
                 Exchange::CallerLeft => {
-                    self.load.borrow_mut().end(now_ms, &target.name, None);
-                    log_attempt(request, &target, began_ms, "caller_left", "");
+                    self.close(request, &begun, None, "caller_left", "");
                     return Next::Close;
                 }
                 Exchange::Answered(answer) => {
                     attempts.ran += 1;
-                    {
-                        let mut load = self.load.borrow_mut();
-                        load.answered(now_ms, &target.name, &request.prompt);
-                        load.patience.observe(&request.route.name, now_ms - began_ms);
-                    }
-                    if !self.tries_again_after(request, &attempts, &target, &answer) {
-                        log_attempt(request, &target, began_ms, "answered", "");
+                    self.note_answer(request, &begun);
+                    if !self.tries_again_after(request, &attempts, &begun.target, &answer) {
+                        log_attempt(request, &begun, "answered", "");
+                        let target = begun.target;
                         return self.relay(caller, request, target, *answer, attempts, keeps).await;
                     }
-                    log_attempt(request, &target, began_ms, "failed", "");
-                    self.load.borrow_mut().end(now_ms, &target.name, Some(true));
+                    self.close(request, &begun, Some(true), "failed", "");
                     drain(*answer).await;
                 }
                 Exchange::Ended(end, reason) => {
-                    attempts.ran +=
-                        u32::from(end == AttemptEnd::Broken || end == AttemptEnd::TimedOut);
-                    self.load.borrow_mut().end(now_ms, &target.name, Some(false));
-                    log_attempt(request, &target, began_ms, &end.to_string(), &reason);
-                    if let Some(end) = self.after(request, &attempts, end) {
+                    let end = self.close_ended(request, &mut attempts, &begun, end, &reason);
+                    if let Some(end) = end {
                         return self.end(caller, request, &attempts, end, keeps).await;
                     }
                 }
@@ -97,6 +91,57 @@
         }
     }
 
+    /// Counts an attempt that is about to be made.
+    pub(crate) fn begin(
+        &self,
+        request: &Request,
+        attempts: &mut Attempts,
+        target: Target,
+    ) -> Begun {
+        attempts.sent += 1;
+        attempts.tried.insert(target.name.clone());
+        let began_ms = clock::now_ms();
+        self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
+        Begun { target, began_ms }
+    }
+
+    /// Notes that the answer of an attempt has begun.
+    pub(crate) fn note_answer(&self, request: &Request, begun: &Begun) {
+        let now_ms = clock::now_ms();
+        let mut load = self.load.borrow_mut();
+        load.answered(now_ms, &begun.target.name, &request.prompt);
+        load.patience.observe(&request.route.name, now_ms - begun.began_ms);
+    }
+
+    /// Ends the accounts of an attempt whose answer is not passed on; `good`
+    /// says what it tells of the worker, if anything.
+    pub(crate) fn close(
+        &self,
+        request: &Request,
+        begun: &Begun,
+        good: Option<bool>,
+        outcome: &str,
+        reason: &str,
+    ) {
+        self.load.borrow_mut().end(clock::now_ms(), &begun.target.name, good);
+        log_attempt(request, begun, outcome, reason);
+    }
+
+    /// Ends the accounts of an attempt without an answer; gives how the request
+    /// ends, unless another attempt follows.
+    pub(crate) fn close_ended(
+        &self,
+        request: &Request,
+        attempts: &mut Attempts,
+        begun: &Begun,
+        end: AttemptEnd,
+        reason: &str,
+    ) -> Option<Final> {
+        attempts.ran += u32::from(matches!(end, AttemptEnd::Broken | AttemptEnd::TimedOut));
+        self.close(request, begun, Some(false), &end.to_string(), reason);
+        self.after(request, attempts, end)
+    }
+
     /// How a request ends after an attempt, unless another one follows.
     pub(crate) fn after(
         &self,
@@ -190,18 +235,12 @@
     }
 }
 
-pub(crate) fn log_attempt(
-    request: &Request,
-    target: &Target,
-    began_ms: u64,
-    outcome: &str,
-    reason: &str,
-) {
-    let now_ms = clock::now_ms();
+fn log_attempt(request: &Request, begun: &Begun, outcome: &str, reason: &str) {
+    let Begun { target, began_ms } = begun;
     log::info!(
         event = Event::AttemptEnded.number(), id = request.id.as_str(),
         route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason,
-        outcome = outcome, reason = reason, waited_ms = now_ms - began_ms,
+        outcome = outcome, reason = reason, waited_ms = clock::now_ms() - began_ms,
         age_ms = request.age_ms(), left_ms = request.left_ms(), version = request.version;
         "attempt"
     );
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -51,8 +51,8 @@
     Broken(String),
     /// Nothing has come for long, and another worker could go on.
     StandsStill,
-    TimedOut,
-    CallerLeft,
+    /// The time is over, or the caller has left; which, for the log.
+    Ended(&'static str),
 }
 
 /// The answer on the caller's side.
@@ -86,58 +86,54 @@
         let mut outlet = Outlet::new(&answer, request, keeps);
         let mut source = Source::new(target, answer);
         loop {
-            let part = self.next_part(caller, request, &attempts, &mut source, &outlet).await;
-            let now_ms = clock::now_ms();
-            match part {
+            match self.next_part(caller, request, &attempts, &mut source, &outlet).await {
                 Part::Data(data) => {
-                    self.load.borrow_mut().heard(now_ms, &source.target.name);
+                    self.load.borrow_mut().heard(clock::now_ms(), &source.target.name);
                     if outlet.write(caller, &data).await.is_err() {
                         self.finish(request, source, &outlet, None, "caller_left");
                         return Next::Close;
                     }
                 }
-                Part::End => {
-                    let good = source.head.status < 500;
-                    let ended = outlet.end(caller).await;
-                    let keeps = outlet.keeps && ended.is_ok();
-                    self.finish(request, source, &outlet, Some(good), "complete");
-                    return if keeps { Next::Keep } else { Next::Close };
-                }
-                Part::CallerLeft => {
-                    self.finish(request, source, &outlet, None, "caller_left");
-                    return Next::Close;
-                }
-                Part::TimedOut => {
-                    self.finish(request, source, &outlet, None, "timed_out");
-                    caller.reset_on_drop();
-                    return Next::Close;
-                }
                 Part::StandsStill => {
                     outlet.may_move = false;
                     let moved = self.resume(caller, request, &mut attempts, &mut outlet).await;
                     if let Some(next) = moved {
-                        log_broken(request, &source.target, "the stream stood still");
-                        self.load.borrow_mut().end(now_ms, &source.target.name, Some(false));
                         // What is dropped here ends the work of the worker before.
+                        self.abandon(request, source, "the stream stood still");
                         source = next;
                     }
                 }
                 Part::Broken(reason) => {
-                    log_broken(request, &source.target, &reason);
-                    self.load.borrow_mut().end(now_ms, &source.target.name, Some(false));
-                    drop(source);
-                    match self.resume(caller, request, &mut attempts, &mut outlet).await {
-                        Some(next) => source = next,
-                        None => {
-                            caller.reset_on_drop();
-                            return Next::Close;
-                        }
-                    }
+                    self.abandon(request, source, &reason);
+                    let moved = self.resume(caller, request, &mut attempts, &mut outlet).await;
+                    let Some(next) = moved else {
+                        caller.reset_on_drop();
+                        return Next::Close;
+                    };
+                    source = next;
+                }
+                Part::End => {
+                    let good = source.head.status < 500;
+                    let ended = outlet.end(caller).await;
+                    let keeps = outlet.keeps && ended.is_ok();
+                    self.finish(request, source, &outlet, Some(good), "complete");
+                    return if keeps { Next::Keep } else { Next::Close };
+                }
+                Part::Ended(outcome) => {
+                    self.finish(request, source, &outlet, None, outcome);
+                    caller.reset_on_drop();
+                    return Next::Close;
                 }
             }
         }
     }
 
+    /// Gives up a worker whose answer does not go on.
+    fn abandon(&self, request: &Request, source: Source, reason: &str) {
+        log_broken(request, &source.target, reason);
+        self.load.borrow_mut().end(clock::now_ms(), &source.target.name, Some(false));
+    }
+
     async fn next_part(
         &self,
         caller: &mut Connection,
@@ -156,10 +152,10 @@
                 Ok(Ok(None)) if outlet.ends_whole(source) => Part::End,
                 Ok(Ok(None)) => Part::Broken("the stream ended inside an event".to_owned()),
                 Ok(Err(error)) => Part::Broken(error.to_string()),
-                Err(_) if request.left_ms() == 0 => Part::TimedOut,
+                Err(_) if request.left_ms() == 0 => Part::Ended("timed_out"),
                 Err(_) => Part::StandsStill,
             },
-            () = caller.departed() => Part::CallerLeft,
+            () = caller.departed() => Part::Ended("caller_left"),
         }
     }
 
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -5,10 +5,9 @@
 use anvillift_fleet::verdict::AttemptEnd;
 use anvillift_http::Connection;
 
-use crate::clock;
 use crate::entry::Entry;
 use crate::entry::attempt::Exchange;
-use crate::entry::forward::{Attempts, log_attempt};
+use crate::entry::forward::{Attempts, Begun};
 use crate::entry::relay::{Outlet, Source};
 use crate::entry::request::Request;
 
@@ -50,46 +49,46 @@
                 return None;
             }
             let target = self.next_target(request, &attempts.tried)?;
-            attempts.sent += 1;
-            attempts.tried.insert(target.name.clone());
-            let began_ms = clock::now_ms();
-            self.load.borrow_mut().begin(began_ms, &target.name, &request.prompt);
-            let exchange = {
-                let (after, left_ms) = (last_id.as_deref(), request.left_ms());
-                self.attempt(caller, request, &target, after, left_ms, || false).await
-            };
-            let now_ms = clock::now_ms();
+            let begun = self.begin(request, attempts, target);
+            let (after, left_ms) = (last_id.as_deref(), request.left_ms());
+            let exchange =
+                self.attempt(caller, request, &begun.target, after, left_ms, || false).await;
             match exchange {
                 Exchange::Answered(answer) if answer.head.status == 200 => {
                     attempts.ran += 1;
                     events.drop_partial();
-                    self.load.borrow_mut().answered(now_ms, &target.name, &request.prompt);
-                    log_attempt(request, &target, began_ms, "resumed", "");
-                    return Some(Source::new(target, *answer));
+                    self.note_answer(request, &begun);
+                    return Some(Source::new(begun.target, *answer));
                 }
                 Exchange::Answered(answer) => {
-                    attempts.ran += 1;
-                    self.load.borrow_mut().end(now_ms, &target.name, Some(false));
-                    log_attempt(
-                        request,
-                        &target,
-                        began_ms,
-                        "failed",
-                        &answer.head.status.to_string(),
-                    );
-                    end = AttemptEnd::Broken;
+                    let reason = format!("answered {} in place of a stream", answer.head.status);
+                    end = self.close_broken(request, attempts, &begun, &reason);
                 }
                 Exchange::CallerLeft => {
-                    self.load.borrow_mut().end(now_ms, &target.name, None);
+                    self.close(request, &begun, None, "caller_left", "");
                     return None;
                 }
+                Exchange::Ended(AttemptEnd::Broken, reason) => {
+                    end = self.close_broken(request, attempts, &begun, &reason);
+                }
                 Exchange::Ended(ended, reason) => {
-                    attempts.ran += u32::from(ended == AttemptEnd::Broken);
-                    self.load.borrow_mut().end(now_ms, &target.name, Some(false));
-                    log_attempt(request, &target, began_ms, &ended.to_string(), &reason);
+                    self.close(request, &begun, Some(false), &ended.to_string(), &reason);
                     end = ended;
                 }
             }
         }
     }
+
+    /// Ends the accounts of an attempt that may have run without going on.
+    fn close_broken(
+        &self,
+        request: &Request,
+        attempts: &mut Attempts,
+        begun: &Begun,
+        reason: &str,
+    ) -> AttemptEnd {
+        attempts.ran += 1;
+        self.close(request, begun, Some(false), "broken", reason);
+        AttemptEnd::Broken
+    }
 }
