--- a/crates/anvillift-fleet/src/core_roster.rs
+++ b/crates/anvillift-fleet/src/core_roster.rs
@@ -26,6 +26,8 @@
 /// What the leader sees of the hosts.
 #[derive(Clone, Copy, Debug)]
 pub struct Sight<'a> {
+    /// Own name; the leader itself is never gone.
+    pub me: &'a str,
     /// Hosts.
     pub hosts: &'a HostTable,
     /// Now.
@@ -66,6 +68,9 @@
 
 /// Whether a replica is silent, or its host has come back with another disk.
 fn is_gone(sight: &Sight<'_>, voter: &Voter) -> bool {
+    if voter.host.as_str() == sight.me {
+        return false;
+    }
     let host = sight.hosts.get(&voter.host);
     let has_another_disk = host.is_some_and(|host| host.storage_id != voter.storage_id);
     let silent_ms = sight.hosts.silent_ms(sight.now_ms, &voter.host).unwrap_or(sight.led_ms);
--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -43,7 +43,7 @@
 }
 
 fn next(hosts: &HostTable, led_ms: u64, voters: &VoterSet) -> Option<RosterChange> {
-    core_roster::next_change(&Sight { hosts, now_ms: NOW_MS, led_ms }, voters)
+    core_roster::next_change(&Sight { me: "a", hosts, now_ms: NOW_MS, led_ms }, voters)
 }
 
 #[test]
@@ -79,3 +79,18 @@
 fn the_last_three_voters_stay() {
     assert_eq!(next(&heard(&["a", "b"]), 60_000, &voters(&["a", "b", "c"])), None);
 }
+
+/// Seen on a day of our own (deploy/days/disks, both sites): with four voters a
+/// leader, which hears everyone but itself, took itself for gone and removed itself,
+/// again and again, until no majority was left.
+#[test]
+fn a_leader_does_not_remove_itself() {
+    let set = voters(&["a", "b", "c", "d"]);
+    assert_eq!(next(&heard(&["b", "c", "d"]), 60_000, &set), None);
+    let mut hosts = heard(&["a"]);
+    for name in ["b", "c", "d"] {
+        hosts.merge(NOW_MS + 9_000, core(name, &format!("disk-{name}")), true);
+    }
+    let sight = Sight { me: "a", hosts: &hosts, now_ms: NOW_MS + 9_000, led_ms: 60_000 };
+    assert_eq!(core_roster::next_change(&sight, &set), None);
+}
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -120,11 +120,13 @@
         if !self.log.leads() || self.node.is_leaving() {
             return;
         }
+        let me = self.node.me().name;
         let status = self.log.status();
         let (voters, led) = (&status.voters, status.led_for().unwrap_or_default());
         let change = {
             let known = self.node.known.borrow();
             let sight = Sight {
+                me: &me,
                 hosts: &known.hosts,
                 now_ms: clock::now_ms(),
                 led_ms: led.as_millis() as u64,
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -130,6 +130,7 @@
         loop {
             turn.tick().await;
             turns += 1;
+            self.node.note_alive();
             self.node.dial_cores();
             self.expire_workers();
             self.tell_loads();
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -246,10 +246,8 @@
             if let Some(core) = again {
                 self.want_control(&core);
             }
-            let mut known = self.node.known.borrow_mut();
-            let me = self.node.me();
-            known.hosts.heard(now_ms, &me.name);
-            known.hosts.forget(now_ms);
+            self.node.note_alive();
+            self.node.known.borrow_mut().hosts.forget(now_ms);
             metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
         }
     }
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Notes that this host itself is there.
+    pub(crate) fn note_alive(&self) {
+        let me = self.me();
+        self.known.borrow_mut().hosts.heard(clock::now_ms(), &me.name);
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_leaving.get()
     }
