--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -2,6 +2,7 @@
 
 use anvillift_fleet::core_roster;
 use anvillift_fleet::core_roster::{RosterChange, Sight};
+use anvillift_schema::consensus::Voter;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
     FleetControl, FleetControlNews, FleetFrame, FleetHost, FleetHostRole, FleetHosts,
@@ -145,4 +146,15 @@
             "change of the voters: {change:?}"
         );
     }
+
+    /// Shows on the metrics address who votes, as far as this host knows.
+    pub(super) fn show_voters(&self) {
+        let voters = self.log.status().voters;
+        let me = self.node.me();
+        let own = Voter { host: me.name, storage_id: me.storage_id };
+        let votes = voters.voters.contains(&own);
+        metrics::gauge!("anvillift_control_voters").set(voters.voters.len() as f64);
+        metrics::gauge!("anvillift_control_learners").set(voters.learners.len() as f64);
+        metrics::gauge!("anvillift_control_votes").set(f64::from(u8::from(votes)));
+    }
 }
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -136,6 +136,7 @@
             self.tell_loads();
             self.gossip(turns);
             self.change_voters().await;
+            self.show_voters();
         }
     }
 
