Find a leader of control sooner after a loss of power

A core that had just started refused its vote for an election timeout of 500 ms, since it may have promised a lease, and nobody stood before that.

Change: a group may go without leases. Reads then wait for a majority, and a replica that has just started may vote and stand at once. Each voter has a turn of an election timeout, the first one at once, and repeats its trial every 60 ms while the links come up; voters with more entries than the one whose turn it is stand sooner. Control on the platform goes without leases; the project's own groups keep theirs.

Ruled out: showing what a core's disk holds before a leader is found, since the disk may lack a change that restricts where data may be.

--- a/crates/anvillift-consensus/src/election.rs
+++ b/crates/anvillift-consensus/src/election.rs
@@ -12,13 +12,14 @@
 
 /// Part of a step that is drawn by lot.
 const STEP_SPREAD: u64 = 4;
+/// Between trials of a replica that has just started, in milliseconds.
+const START_TRIAL_MS: u64 = 60;
 
 impl Replica {
     pub(crate) fn reset_election_due(&mut self, now_ms: u64) {
         let (timeout_ms, step_ms) =
             (self.settings.election_timeout_ms, self.settings.election_step_ms);
-        let rank = self.log.voters().voters.iter().position(|voter| *voter == self.identity);
-        let further_ms = match rank {
+        let further_ms = match self.rank() {
             Some(rank) if step_ms > 0 => {
                 rank as u64 * step_ms + self.rng.random_range(0..=step_ms / STEP_SPREAD)
             }
@@ -27,12 +28,38 @@
         self.election_due_ms = now_ms + timeout_ms + further_ms;
     }
 
+    /// Place among the voters, which all replicas see alike.
+    fn rank(&self) -> Option<usize> {
+        self.log.voters().voters.iter().position(|voter| *voter == self.identity)
+    }
+
+    /// Gives each voter a turn of an election timeout, the first one at once:
+    /// where all have lost power together nobody else leads.
+    pub(crate) fn begin_first_turn(&mut self, now_ms: u64) {
+        let turn_ms = self.settings.election_timeout_ms;
+        self.election_due_ms = now_ms + self.rank().unwrap_or(0) as u64 * turn_ms;
+        self.starting_until_ms = self.election_due_ms + turn_ms;
+    }
+
+    /// Stands sooner, since the voter whose turn it is lacks entries.
+    fn hasten_first_turn(&mut self, now_ms: u64) {
+        if self.heard_ms.is_some() || now_ms >= self.starting_until_ms {
+            return;
+        }
+        let rank = self.rank().unwrap_or(0) as u64;
+        let due_ms = now_ms + rank.saturating_sub(1) * self.settings.election_step_ms;
+        self.election_due_ms = self.election_due_ms.min(due_ms);
+    }
+
     pub(crate) fn tick_election(&mut self, now_ms: u64) {
         if now_ms < self.election_due_ms {
             return;
         }
         self.leader = None;
         self.reset_election_due(now_ms);
+        if self.heard_ms.is_none() && now_ms < self.starting_until_ms {
+            self.election_due_ms = now_ms + START_TRIAL_MS;
+        }
         if self.may_stand() {
             self.stand(now_ms, true, false);
         }
@@ -49,6 +76,7 @@
         if !pre_vote {
             self.vote = Vote { term, voted_for: Some(self.identity.clone()) };
             self.emit(Effect::SaveVote { vote: self.vote.clone() });
+            self.reset_election_due(now_ms);
         }
         let votes = BTreeSet::from([Self::key(&self.identity)]);
         self.role = Role::Candidate(Candidacy { term, pre_vote, votes });
@@ -86,9 +114,13 @@
         if !pre_vote && !refused_for_leader && term > self.vote.term {
             self.enter_term(now_ms, term);
         }
+        let covered = self.log.is_covered_by(last_term, last_index);
+        if pre_vote && !covered {
+            self.hasten_first_turn(now_ms);
+        }
         let granted = !refused_for_leader
             && self.refetch_upto.is_none()
-            && self.log.is_covered_by(last_term, last_index)
+            && covered
             && if pre_vote { term > self.vote.term } else { self.vote_is_free(term, from) };
         if granted && !pre_vote {
             self.vote = Vote { term, voted_for: Some(from.clone()) };
--- a/crates/anvillift-consensus/src/replica.rs
+++ b/crates/anvillift-consensus/src/replica.rs
@@ -78,8 +78,10 @@
     started: bool,
     /// Term when this replica started.
     pub(crate) start_term: u64,
-    /// When a leader was last heard, or this replica started again.
+    /// When a leader was last heard, or this replica started again under a lease.
     pub(crate) heard_ms: Option<u64>,
+    /// Until when a trial is repeated soon, since the links are just coming up.
+    pub(crate) starting_until_ms: u64,
     pub(crate) election_due_ms: u64,
     pub(crate) form_reports: BTreeMap<Name, Name>,
     pub(crate) form_due_ms: u64,
@@ -121,6 +123,7 @@
             vote: recovered.vote.unwrap_or(Vote { term: 0, voted_for: None }),
             started: false,
             heard_ms: None,
+            starting_until_ms: 0,
             election_due_ms: 0,
             form_reports: BTreeMap::new(),
             form_due_ms: 0,
@@ -247,7 +250,8 @@
     /// Whether the state may be read here without asking the other replicas.
     pub fn may_serve_reads(&self, now_ms: u64) -> bool {
         let Role::Leader(leadership) = &self.role else { return false };
-        leadership.transfer_until_ms.is_none()
+        self.settings.reads_by_lease
+            && leadership.transfer_until_ms.is_none()
             && self.commit_index >= leadership.first_index
             && now_ms < self.lease_until_ms(leadership, now_ms)
     }
@@ -354,6 +358,10 @@
     fn observe(&mut self, now_ms: u64) {
         if !self.started {
             self.started = true;
+            if !self.settings.reads_by_lease {
+                self.begin_first_turn(now_ms);
+                return;
+            }
             self.reset_election_due(now_ms);
             // A restarted replica may have answered a leader just before.
             if self.vote.term > 0 || self.log.last_index() > 0 {
--- a/crates/anvillift-consensus/src/settings.rs
+++ b/crates/anvillift-consensus/src/settings.rs
@@ -18,6 +18,10 @@
     pub election_step_ms: u64,
     /// Between heartbeats of the leader, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Whether the leader reads under a lease. Without one every read waits for
+    /// a majority, and in return a replica that has just started may vote and
+    /// stand at once: it can't break the promise of a lease that it forgot.
+    pub reads_by_lease: bool,
     /// Taken off the lease for clocks that run at different rates, in thousandths.
     pub clock_drift_milli: u64,
     /// Entries kept behind a snapshot for followers that are a little late.
@@ -43,6 +47,7 @@
             election_timeout_ms: 1_000,
             election_step_ms: 0,
             heartbeat_ms: 200,
+            reads_by_lease: true,
             clock_drift_milli: 50,
             trailing_entries: 1_000,
             max_message_entries: 1_024,
--- a/crates/anvillift-consensus/tests/testsuite/schedules.rs
+++ b/crates/anvillift-consensus/tests/testsuite/schedules.rs
@@ -2,6 +2,7 @@
 
 use std::env;
 
+use anvillift_consensus::ReplicaSettings;
 use proptest::prelude::*;
 
 use crate::harness::{Cluster, host};
@@ -135,9 +136,9 @@
     panic!("the group did not recover");
 }
 
-fn run_schedule(size: usize, seed: u64, replace_restarted: bool, steps: &[Step]) {
+fn run_schedule(size: usize, seed: u64, set: impl FnOnce(&mut ReplicaSettings), steps: &[Step]) {
     let mut cluster = Cluster::new(size, seed);
-    cluster.settings.replace_restarted = replace_restarted;
+    set(&mut cluster.settings);
     for step in steps {
         perform(&mut cluster, size, step);
     }
@@ -161,7 +162,7 @@
         seed in any::<u64>(),
         steps in prop::collection::vec(step(), 1..60),
     ) {
-        run_schedule(3, seed, false, &steps);
+        run_schedule(3, seed, |_| (), &steps);
     }
 
     #[test]
@@ -169,7 +170,7 @@
         seed in any::<u64>(),
         steps in prop::collection::vec(step(), 1..60),
     ) {
-        run_schedule(5, seed, false, &steps);
+        run_schedule(5, seed, |_| (), &steps);
     }
 
     #[test]
@@ -177,6 +178,18 @@
         seed in any::<u64>(),
         steps in prop::collection::vec(step(), 1..60),
     ) {
-        run_schedule(3, seed, true, &steps);
+        run_schedule(3, seed, |settings| settings.replace_restarted = true, &steps);
+    }
+
+    #[test]
+    fn replicas_without_a_lease_keep_their_promises(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let set = |settings: &mut ReplicaSettings| {
+            settings.reads_by_lease = false;
+            settings.election_step_ms = 100;
+        };
+        run_schedule(3, seed, set, &steps);
     }
 }
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -31,9 +31,14 @@
 /// Entries between snapshots; entries hold whole configurations.
 const SNAPSHOT_ENTRIES: u64 = 32;
 /// A message crosses regions in tens of milliseconds, so a trial and a vote are
-/// over within a step.
-const TIMING: GroupTiming =
-    GroupTiming { election_timeout_ms: 500, election_step_ms: 200, heartbeat_ms: 125 };
+/// over within a step. Operators read rarely, and everybody waits for a leader
+/// after a loss of power.
+const TIMING: GroupTiming = GroupTiming {
+    election_timeout_ms: 500,
+    election_step_ms: 200,
+    heartbeat_ms: 125,
+    reads_by_lease: false,
+};
 /// Before a failed storage is opened again.
 const REOPEN_AFTER: Duration = Duration::from_millis(700);
 
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -269,6 +269,7 @@
         election_timeout_ms: settings.timing.election_timeout_ms,
         election_step_ms: settings.timing.election_step_ms,
         heartbeat_ms: settings.timing.heartbeat_ms,
+        reads_by_lease: settings.timing.reads_by_lease,
         replace_restarted: settings.replace_restarted,
         ..ReplicaSettings::default()
     }
--- a/crates/anvillift-replication/src/settings.rs
+++ b/crates/anvillift-replication/src/settings.rs
@@ -19,11 +19,19 @@
     pub election_step_ms: u64,
     /// Between heartbeats of the leader, in milliseconds.
     pub heartbeat_ms: u64,
+    /// Whether the leader reads under a lease; without one a group that starts
+    /// again finds its leader sooner, and reads wait for a majority.
+    pub reads_by_lease: bool,
 }
 
 impl Default for GroupTiming {
     fn default() -> Self {
-        Self { election_timeout_ms: 1_000, election_step_ms: 0, heartbeat_ms: 200 }
+        Self {
+            election_timeout_ms: 1_000,
+            election_step_ms: 0,
+            heartbeat_ms: 200,
+            reads_by_lease: true,
+        }
     }
 }
 
