Write log lines whole and a few kilobytes at a time

Cause: lines are gathered for 0.2 s and were written in one piece; what collects them on the platform keeps 8 KiB of a write, so at a peak half of a host's lines were lost without a word (295 of about 516 answers of one host in 4 s, every batch shown cut at 8.2 KB). Ruled out: our own bound, which says what it drops.

Change: writes of at most 8 KiB that end with a line.

--- a/crates/anvillift-telemetry/src/logging/bounded.rs
+++ b/crates/anvillift-telemetry/src/logging/bounded.rs
@@ -12,6 +12,8 @@
 
 /// Bytes that may wait to be written.
 const MAX_WAITING_BYTES: usize = 512 * 1024;
+/// Largest write; what collects the lines may cut longer ones.
+const MAX_WRITE_BYTES: usize = 8 * 1024;
 /// For how long lines are gathered.
 const GATHER: Duration = Duration::from_millis(200);
 
@@ -37,7 +39,7 @@
             loop {
                 let bytes = writer.take();
                 // There is nowhere else to report that the output is gone.
-                output.write_all(&bytes).and_then(|()| output.flush()).ok();
+                write_lines(&mut output, &bytes).and_then(|()| output.flush()).ok();
                 writer.lock().is_writing = false;
                 thread::sleep(GATHER);
             }
@@ -101,3 +103,17 @@
         Ok(())
     }
 }
+
+/// Writes whole lines, a few kilobytes at a time.
+fn write_lines(output: &mut impl Write, bytes: &[u8]) -> io::Result<()> {
+    let mut rest = bytes;
+    while rest.len() > MAX_WRITE_BYTES {
+        let whole = rest[..MAX_WRITE_BYTES].iter().rposition(|byte| *byte == b'\n');
+        let longer = || rest.iter().position(|byte| *byte == b'\n');
+        let end = whole.or_else(longer).map_or(rest.len(), |last| last + 1);
+        let (lines, after) = rest.split_at(end);
+        output.write_all(lines)?;
+        rest = after;
+    }
+    output.write_all(rest)
+}
