Let entry hosts answer the directory, and keep knowing each other for hours

Callers of the region ask their one core for hosts, wait a second and ask another.

Cause 2, found on the way: an entry host learns of others by changes only and forgets what it hasn't heard of for 60 s. After a calm minute it would have known itself alone, passed nothing to other regions, and taken the whole of the cold and retry limits that hosts share.

Change: entry hosts serve the directory. Cores tell them every 0.75 s who of the region is there (the first core also for regions without one), every 5 s who of all regions is. A host that hears no core keeps to what it knew, and forgets nobody for that time.

--- a/crates/anvillift-fleet/src/directory.rs
+++ b/crates/anvillift-fleet/src/directory.rs
@@ -6,7 +6,10 @@
 //! Hosts that leave, start or have gone silent are never named beside one that
 //! is ready.
 
+use std::collections::BTreeSet;
+
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
+use anvillift_schema::name::Name;
 
 use crate::host_table::HostTable;
 
@@ -16,20 +19,34 @@
 /// The addresses for a caller in a region.
 pub fn addresses(hosts: &HostTable, now_ms: u64, region: &str) -> Vec<String> {
     let own = |host: &FleetHost| host.region.as_str() == region;
-    let heard = hosts.heard_directly(now_ms);
+    let sure = hosts.surely_alive(now_ms);
     let told: Vec<FleetHost> =
         hosts.iter(now_ms).filter(|(_, alive)| *alive).map(|(host, _)| host.clone()).collect();
-    // What this host hears itself is surer than what it was told.
     let choices = [
-        usable(&heard, FleetHostState::Ready, own),
+        usable(&sure, FleetHostState::Ready, own),
         usable(&told, FleetHostState::Ready, own),
-        usable(&heard, FleetHostState::Leaving, own),
-        usable(&heard, FleetHostState::Ready, |_| true),
+        usable(&sure, FleetHostState::Leaving, own),
+        usable(&sure, FleetHostState::Ready, |_| true),
         usable(&told, FleetHostState::Ready, |_| true),
     ];
     choices.into_iter().find(|addresses| !addresses.is_empty()).unwrap_or_default()
 }
 
+/// The regions whose entry hosts a core tells which of them it hears: its own,
+/// and those without a core of theirs, which the first of the cores takes over.
+pub fn regions_told_by(hosts: &HostTable, now_ms: u64, core: &FleetHost) -> BTreeSet<Name> {
+    let heard = hosts.heard_directly(now_ms);
+    let is_core = |host: &&FleetHost| host.role == FleetHostRole::Core;
+    let with_core: BTreeSet<&Name> =
+        heard.iter().filter(is_core).map(|host| &host.region).chain([&core.region]).collect();
+    let is_first = heard.iter().filter(is_core).all(|host| host.name >= core.name);
+    let without_core = heard
+        .iter()
+        .map(|host| &host.region)
+        .filter(|region| is_first && !with_core.contains(region));
+    without_core.chain([&core.region]).cloned().collect()
+}
+
 fn usable(
     hosts: &[FleetHost],
     state: FleetHostState,
--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -15,6 +15,23 @@
 /// Time after which a silent host is forgotten, in milliseconds.
 const FORGET_AFTER_MS: u64 = 60_000;
 
+/// How long a table trusts what other hosts say.
+#[derive(Clone, Copy, Debug)]
+pub struct HostTableSettings {
+    /// Time for which a host counts as alive after another host has said that
+    /// it hears it, in milliseconds.
+    pub told_alive_ms: u64,
+    /// Time for which it counts as surely alive, in milliseconds; 0 where only
+    /// a host's own sign of life makes it sure.
+    pub told_sure_ms: u64,
+}
+
+impl Default for HostTableSettings {
+    fn default() -> Self {
+        Self { told_alive_ms: 7_000, told_sure_ms: 0 }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Heard {
     host: FleetHost,
@@ -22,18 +39,25 @@
     heard_ms: u64,
 }
 
+impl Heard {
+    fn is_direct(&self, now_ms: u64) -> bool {
+        self.direct_ms.is_some_and(|ms| ms + DIRECT_ALIVE_MS >= now_ms)
+    }
+}
+
 /// The hosts by name.
 #[derive(Clone, Debug)]
 pub struct HostTable {
     hosts: BTreeMap<Name, Heard>,
-    indirect_alive_ms: u64,
+    settings: HostTableSettings,
+    /// When no core was heard for the last time, where those tell of the others.
+    out_of_touch_ms: u64,
 }
 
 impl HostTable {
-    /// A table in which a host counts as alive for so long after another host
-    /// has said that it hears it.
-    pub fn new(indirect_alive_ms: u64) -> Self {
-        Self { hosts: BTreeMap::new(), indirect_alive_ms }
+    /// A table without hosts yet.
+    pub fn new(settings: HostTableSettings) -> Self {
+        Self { hosts: BTreeMap::new(), settings, out_of_touch_ms: 0 }
     }
 
     /// Takes a description; whether it is new. `direct` says that it came from
@@ -67,16 +91,40 @@
         }
     }
 
+    /// Notes that another host hears a host, if that is known here.
+    pub fn told(&mut self, now_ms: u64, name: &str) {
+        if let Some(known) = self.hosts.get_mut(name) {
+            known.heard_ms = now_ms;
+        }
+    }
+
+    /// The hosts that are surely alive: heard directly, or told of a moment ago.
+    /// A host that trusts what cores tell and hears none keeps to what it knew.
+    pub fn surely_alive(&self, now_ms: u64) -> Vec<FleetHost> {
+        let told_sure_ms = self.settings.told_sure_ms;
+        let keeps_all = self.is_out_of_touch(now_ms);
+        let sure = |heard: &&Heard| {
+            keeps_all || heard.is_direct(now_ms) || heard.heard_ms + told_sure_ms > now_ms
+        };
+        self.hosts.values().filter(sure).map(|heard| heard.host.clone()).collect()
+    }
+
+    /// Whether this host trusts what cores tell and hears none.
+    fn is_out_of_touch(&self, now_ms: u64) -> bool {
+        let is_core = |heard: &Heard| heard.host.role == FleetHostRole::Core;
+        let hears_core = self.hosts.values().any(|heard| is_core(heard) && heard.is_direct(now_ms));
+        self.settings.told_sure_ms > 0 && !hears_core
+    }
+
     /// The hosts that this one hears itself.
     pub fn heard_directly(&self, now_ms: u64) -> Vec<FleetHost> {
-        let direct =
-            |heard: &&Heard| heard.direct_ms.is_some_and(|ms| ms + DIRECT_ALIVE_MS >= now_ms);
+        let direct = |heard: &&Heard| heard.is_direct(now_ms);
         self.hosts.values().filter(direct).map(|heard| heard.host.clone()).collect()
     }
 
     /// Every host, with whether it is alive.
     pub fn iter(&self, now_ms: u64) -> impl Iterator<Item = (&FleetHost, bool)> {
-        let alive_ms = self.indirect_alive_ms;
+        let alive_ms = self.settings.told_alive_ms;
         let alive = move |heard: &Heard| heard.heard_ms + alive_ms >= now_ms;
         self.hosts.values().map(move |heard| (&heard.host, alive(heard)))
     }
@@ -128,8 +176,13 @@
         Some(now_ms.saturating_sub(heard_ms))
     }
 
-    /// Drops hosts that have long been silent.
+    /// Drops hosts that have long been silent. Silence while this host was out
+    /// of touch says nothing: the others may still share limits with it.
     pub fn forget(&mut self, now_ms: u64) {
-        self.hosts.retain(|_, heard| heard.heard_ms + FORGET_AFTER_MS >= now_ms);
+        if self.is_out_of_touch(now_ms) {
+            self.out_of_touch_ms = now_ms;
+        }
+        let touched_ms = self.out_of_touch_ms;
+        self.hosts.retain(|_, heard| heard.heard_ms.max(touched_ms) + FORGET_AFTER_MS >= now_ms);
     }
 }
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -44,7 +44,7 @@
 pub use control_pull::ControlPull;
 pub use event_splitter::EventSplitter;
 pub use flight::Flight;
-pub use host_table::HostTable;
+pub use host_table::{HostTable, HostTableSettings};
 pub use in_flight::InFlight;
 pub use in_flight_table::InFlightTable;
 pub use patience::Patience;
--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -1,8 +1,7 @@
 //! Which change of the voters the leader makes next.
 
-use anvillift_fleet::HostTable;
-use anvillift_fleet::core_roster;
 use anvillift_fleet::core_roster::{RosterChange, Sight};
+use anvillift_fleet::{HostTable, HostTableSettings, core_roster};
 use anvillift_schema::consensus::{Voter, VoterSet};
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 use anvillift_schema::name::Name;
@@ -35,7 +34,7 @@
 }
 
 fn heard(names: &[&str]) -> HostTable {
-    let mut hosts = HostTable::new(7_000);
+    let mut hosts = HostTable::new(HostTableSettings::default());
     for name in names {
         hosts.merge(NOW_MS, core(name, &format!("disk-{name}")), true);
     }
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -1,6 +1,6 @@
 //! Which hosts a caller is told to use.
 
-use anvillift_fleet::{HostTable, directory};
+use anvillift_fleet::{HostTable, HostTableSettings, directory};
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 use anvillift_schema::name::Name;
 
@@ -23,7 +23,7 @@
 }
 
 fn table(hosts: &[FleetHost]) -> HostTable {
-    let mut table = HostTable::new(7_000);
+    let mut table = HostTable::new(HostTableSettings::default());
     for host in hosts {
         table.merge(NOW_MS, host.clone(), true);
     }
@@ -67,3 +67,82 @@
     hosts.merge(NOW_MS + 9_000, host("n2", "north", FleetHostState::Ready), true);
     assert_eq!(directory::addresses(&hosts, NOW_MS + 9_000, "north"), ["n2"]);
 }
+
+fn core(name: &str, region: &str) -> FleetHost {
+    let role = FleetHostRole::Core;
+    FleetHost { role, caller_address: String::new(), ..host(name, region, FleetHostState::Ready) }
+}
+
+/// An entry host of the north with a peer that a core has told of.
+fn table_of_an_entry() -> HostTable {
+    let settings = HostTableSettings { told_alive_ms: 16_000, told_sure_ms: 2_500 };
+    let mut table = HostTable::new(settings);
+    table.merge(NOW_MS, host("n1", "north", FleetHostState::Ready), true);
+    table.merge(NOW_MS, core("c1", "north"), true);
+    table.merge(NOW_MS, host("n2", "north", FleetHostState::Ready), false);
+    table
+}
+
+/// The pattern: callers ask an entry host, which hears its peers by a core only.
+#[test]
+fn an_entry_host_names_those_that_a_core_hears() {
+    let mut hosts = table_of_an_entry();
+    assert_eq!(directory::addresses(&hosts, NOW_MS, "north"), ["n1", "n2"]);
+    let later_ms = NOW_MS + 4_000;
+    for name in ["n1", "c1"] {
+        hosts.heard(later_ms, name);
+    }
+    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1"], "n2 is gone");
+    hosts.told(later_ms, "n2");
+    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
+}
+
+/// Cut off from every core it can't tell who is there, and names all it knew.
+#[test]
+fn an_entry_host_without_cores_keeps_to_what_it_knew() {
+    let mut hosts = table_of_an_entry();
+    let later_ms = NOW_MS + 10_000;
+    hosts.heard(later_ms, "n1");
+    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
+}
+
+#[test]
+fn the_first_core_tells_regions_without_one() {
+    let hosts = table(&[
+        core("c1", "north"),
+        core("c2", "south"),
+        host("n1", "north", FleetHostState::Ready),
+        host("w1", "west", FleetHostState::Ready),
+    ]);
+    let told = |name: &str, region: &str| {
+        let regions = directory::regions_told_by(&hosts, NOW_MS, &core(name, region));
+        regions.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    assert_eq!(told("c1", "north"), ["north", "west"]);
+    assert_eq!(told("c2", "south"), ["south"]);
+}
+
+/// The pattern: a fleet runs for hours, and its hosts change rarely. What was
+/// told once must not be forgotten while it is told again, nor while nobody can
+/// tell: the other hosts would each take the whole of the limits that they share.
+#[test]
+fn hosts_are_not_forgotten_while_they_are_told_of_or_nobody_tells() {
+    let mut hosts = table_of_an_entry();
+    let mut now_ms = NOW_MS;
+    let mut pass = |hosts: &mut HostTable, seconds: u64, heard: &[&str], told: &[&str]| {
+        for _ in 0..seconds {
+            now_ms += 1_000;
+            heard.iter().for_each(|name| hosts.heard(now_ms, name));
+            told.iter().for_each(|name| hosts.told(now_ms, name));
+            hosts.forget(now_ms);
+        }
+    };
+    pass(&mut hosts, 300, &["n1", "c1"], &["n2"]);
+    assert_eq!(hosts.entries_known(), 2, "told of again and again");
+    pass(&mut hosts, 300, &["n1"], &[]);
+    assert_eq!(hosts.entries_known(), 2, "out of touch");
+    pass(&mut hosts, 30, &["n1", "c1"], &[]);
+    assert_eq!(hosts.entries_known(), 2, "in touch again for a little while");
+    pass(&mut hosts, 60, &["n1", "c1"], &[]);
+    assert_eq!(hosts.entries_known(), 1, "nobody hears it any more");
+}
--- a/crates/anvillift-node/src/core/calls.rs
+++ b/crates/anvillift-node/src/core/calls.rs
@@ -2,23 +2,20 @@
 
 use std::time::Duration;
 
-use anvillift_fleet::{directory, document};
+use anvillift_fleet::document;
 use anvillift_http::RequestHead;
 use anvillift_replication::ProposeError;
 use anvillift_schema::code::Code;
-use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{EvacuateDataCentre, FleetCommand, ReplaceConfiguration};
 use tokio::time;
 
 use crate::clock;
 use crate::core::Core;
-use crate::dialect::{CallError, ControlCall};
+use crate::dialect::ControlCall;
 use crate::respond::Reply;
 
 /// Longest time for which an operator's call waits for the log.
 const LOG_WITHIN: Duration = Duration::from_millis(2_000);
-/// When to come back while there is no leader, in milliseconds.
-const NO_LEADER_RETRY_MS: u64 = 300;
 
 impl Core {
     /// Answers a call.
@@ -26,19 +23,12 @@
         let started_ms = clock::now_ms();
         let call = match (self.node.dialect.decode_call)(head, body) {
             Ok(call) => call,
-            Err(error) => return self.refuse(head, &error),
+            Err(error) => return self.node.refuse_call(head, &error),
         };
         let named = name(&call);
         let mut reply = self.perform(call, head, body).await;
         reply.closes |= self.node.is_leaving();
-        let took_ms = clock::now_ms() - started_ms;
-        metrics::histogram!("anvillift_call_ms", "call" => named).record(took_ms as f64);
-        log::info!(
-            event = Event::CallAnswered.number(), call = named, status = reply.status,
-            target = head.target.as_str(), took_ms = took_ms,
-            version = self.node.known.borrow().control.version;
-            "call answered"
-        );
+        self.node.note_call(named, head, reply.status, started_ms);
         reply
     }
 
@@ -69,7 +59,7 @@
                 self.commit(head, FleetCommand::Evacuate(evacuate)).await
             }
             ControlCall::Read => self.read(head).await,
-            ControlCall::Resolve { region } => self.resolve(&region),
+            ControlCall::Resolve { region } => self.node.resolve(&region),
             ControlCall::Readiness if self.node.is_leaving() => {
                 self.unavailable(Code::Draining, Code::Draining.title())
             }
@@ -119,32 +109,8 @@
         reply
     }
 
-    fn resolve(&self, region: &str) -> Reply {
-        let addresses =
-            directory::addresses(&self.node.known.borrow().hosts, clock::now_ms(), region);
-        if addresses.is_empty() {
-            return self.unavailable(Code::NotReady, "no entry host is ready");
-        }
-        let ttl_s = self.node.settings.directory_ttl_s;
-        Reply::new(200, (self.node.dialect.encode_addresses)(&addresses, ttl_s))
-    }
-
     fn unavailable(&self, code: Code, detail: &str) -> Reply {
-        self.node.coded(code, detail).retry_after_ms(NO_LEADER_RETRY_MS)
-    }
-
-    fn refuse(&self, head: &RequestHead, error: &CallError) -> Reply {
-        let code = match error {
-            CallError::Unknown => Code::NotFound,
-            CallError::Unreadable { .. } => Code::MalformedRequest,
-            CallError::Invalid { .. } => Code::ChangeInvalid,
-        };
-        log::info!(
-            event = Event::CallAnswered.number(), code = code.number(), status = code.status(),
-            target = head.target.as_str();
-            "call refused: {error}"
-        );
-        self.node.coded(code, &error.to_string())
+        self.node.unavailable(code, detail)
     }
 }
 
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -1,11 +1,11 @@
 //! What a core host tells the others.
 
-use anvillift_fleet::core_roster;
 use anvillift_fleet::core_roster::{RosterChange, Sight};
+use anvillift_fleet::{core_roster, directory};
 use anvillift_schema::consensus::Voter;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetControl, FleetControlNews, FleetFrame, FleetHost, FleetHostRole, FleetHosts,
+    FleetControl, FleetControlNews, FleetFrame, FleetHeard, FleetHost, FleetHostRole, FleetHosts,
 };
 use anvillift_schema::name::Name;
 
@@ -14,6 +14,12 @@
 
 /// Turns of housekeeping between two lists of hosts to the other cores.
 const TELL_CORES_TURNS: u64 = 8;
+/// Turns of housekeeping between two short lists to the entry hosts: who of
+/// their region is there.
+const TELL_REGION_TURNS: u64 = 3;
+/// Turns of housekeeping between two long lists to the entry hosts: who of all
+/// regions is there.
+const TELL_ALL_TURNS: u64 = 20;
 /// Time after its start from which a core without a leader shows what it
 /// holds, in milliseconds.
 const SHOW_ALONE_AFTER_MS: u64 = 3_000;
@@ -65,6 +71,28 @@
         self.node.known.borrow_mut().hosts.forget(clock::now_ms());
     }
 
+    /// Tells entry hosts which others are there: callers ask them for those of
+    /// the region, and all share limits.
+    pub(super) fn tell_heard(&self, turns: u64) {
+        let tells_all = turns.is_multiple_of(TELL_ALL_TURNS);
+        if !tells_all && !turns.is_multiple_of(TELL_REGION_TURNS) {
+            return;
+        }
+        let Some(hub) = self.node.hub() else { return };
+        let now_ms = clock::now_ms();
+        let known = self.node.known.borrow();
+        let mut heard = known.hosts.heard_directly(now_ms);
+        heard.retain(|host| host.role == FleetHostRole::Entry);
+        for region in directory::regions_told_by(&known.hosts, now_ms, &self.node.me()) {
+            let there = |host: &&FleetHost| host.region == region;
+            let told = heard.iter().filter(|host| tells_all || there(host));
+            let hosts: Vec<Name> = told.map(|host| host.name.clone()).collect();
+            for host in heard.iter().filter(there) {
+                hub.send(&host.name, FleetFrame::Heard(FleetHeard { hosts: hosts.clone() }));
+            }
+        }
+    }
+
     /// Tells the entry hosts of the own region what is under way in each region.
     pub(super) fn tell_loads(&self) {
         let Some(hub) = self.node.hub() else { return };
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -120,7 +120,10 @@
                 }
             }
             // Cores learn control from the log, and add up the loads themselves.
-            FleetFrame::Control(_) | FleetFrame::ControlNews(_) | FleetFrame::Loads(_) => (),
+            FleetFrame::Control(_)
+            | FleetFrame::ControlNews(_)
+            | FleetFrame::Heard(_)
+            | FleetFrame::Loads(_) => (),
         }
     }
 
@@ -135,6 +138,7 @@
             self.expire_workers();
             self.tell_loads();
             self.gossip(turns);
+            self.tell_heard(turns);
             self.change_voters().await;
             self.show_voters();
         }
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -33,7 +33,7 @@
 use tokio::{task, time};
 
 use crate::core::seen;
-use crate::dialect::{ControlCall, Dialect};
+use crate::dialect::{CallError, ControlCall, Dialect};
 use crate::entry::load::Load;
 use crate::entry::pool::Pool;
 use crate::error::NodeError;
@@ -105,10 +105,10 @@
         }
         let forwards = listen::listen(settings.forward_address())?;
         front::serve(self, forwards, front::Origin::Host);
-        if let Some(address) = settings.ready_address {
+        for address in [settings.ready_address, settings.directory_address].into_iter().flatten() {
             let entry = Rc::clone(self);
             let answer = move |head: RequestHead, body: Bytes| -> ReplyFuture {
-                let reply = entry.readiness(&head, &body);
+                let reply = entry.answer_call(&head, &body);
                 Box::pin(async move { reply })
             };
             serve_calls::serve(listen::listen(address)?, Rc::new(answer));
@@ -129,11 +129,19 @@
         Ok(())
     }
 
-    fn readiness(&self, head: &RequestHead, body: &[u8]) -> Reply {
+    fn answer_call(&self, head: &RequestHead, body: &[u8]) -> Reply {
+        let began_ms = clock::now_ms();
         match (self.node.dialect.decode_call)(head, body) {
             Ok(ControlCall::Readiness) if self.is_ready() => Reply::new(200, b"{}".to_vec()),
             Ok(ControlCall::Readiness) => Reply::new(503, b"{}".to_vec()),
-            _ => Reply::new(404, b"{}".to_vec()),
+            Ok(ControlCall::Resolve { region }) => {
+                let mut reply = self.node.resolve(&region);
+                reply.closes |= self.node.is_leaving();
+                self.node.note_call("resolve", head, reply.status, began_ms);
+                reply
+            }
+            Ok(_) => self.node.refuse_call(head, &CallError::Unknown),
+            Err(error) => self.node.refuse_call(head, &error),
         }
     }
 
@@ -159,6 +167,11 @@
                     self.want_control(from);
                 }
             }
+            FleetFrame::Heard(heard) => {
+                let now_ms = clock::now_ms();
+                let hosts = &mut self.node.known.borrow_mut().hosts;
+                heard.hosts.iter().for_each(|name| hosts.told(now_ms, name));
+            }
             FleetFrame::Worker(report) => self.on_worker(from, report),
             FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
                 self.node.known.borrow_mut().hosts.heard(clock::now_ms(), from);
--- a/crates/anvillift-node/src/lib.rs
+++ b/crates/anvillift-node/src/lib.rs
@@ -18,6 +18,7 @@
 mod link;
 mod listen;
 mod node;
+mod node_calls;
 mod recorder;
 mod respond;
 mod run;
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use anvillift_fleet::{
-    ConfigurationError, FleetConfiguration, HostTable, RegionLoads, RouteTable, WorkerTable,
-    document,
+    ConfigurationError, FleetConfiguration, HostTable, HostTableSettings, RegionLoads, RouteTable,
+    WorkerTable, document,
 };
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
@@ -23,8 +23,12 @@
 
 /// Time for which a core trusts what another says of a host, in milliseconds.
 const CORE_TOLD_MS: u64 = 7_000;
-/// Time for which an entry host trusts what a core says of a host, in milliseconds.
-const ENTRY_TOLD_MS: u64 = 60_000;
+/// Time for which an entry host trusts what a core says of a host: a few of its
+/// long lists, in milliseconds.
+const ENTRY_TOLD_MS: u64 = 16_000;
+/// Time for which a host that a core hears is surely alive to an entry host: a
+/// few of its short lists, in milliseconds.
+const ENTRY_TOLD_SURE_MS: u64 = 2_500;
 
 /// What a process knows of the fleet.
 pub(crate) struct Known {
@@ -50,9 +54,17 @@
 
 impl Node {
     pub(crate) fn new(settings: NodeSettings, dialect: Dialect, storage_id: Name) -> Rc<Self> {
-        let (role, told_ms) = match settings.role {
-            HostRole::Entry => (FleetHostRole::Entry, ENTRY_TOLD_MS),
-            HostRole::Core => (FleetHostRole::Core, CORE_TOLD_MS),
+        let role = match settings.role {
+            HostRole::Entry => FleetHostRole::Entry,
+            HostRole::Core => FleetHostRole::Core,
+        };
+        let trust = match settings.role {
+            HostRole::Entry => {
+                HostTableSettings { told_alive_ms: ENTRY_TOLD_MS, told_sure_ms: ENTRY_TOLD_SURE_MS }
+            }
+            HostRole::Core => {
+                HostTableSettings { told_alive_ms: CORE_TOLD_MS, ..HostTableSettings::default() }
+            }
         };
         let forwards = settings.role == HostRole::Entry;
         let text = |address: Option<std::net::SocketAddr>| {
@@ -71,7 +83,7 @@
             forward_address: text(forwards.then(|| settings.forward_address())),
             storage_id,
         };
-        let mut hosts = HostTable::new(told_ms);
+        let mut hosts = HostTable::new(trust);
         hosts.merge(clock::now_ms(), me.clone(), true);
         let known = Known {
             hosts,
