Let requests wait at a host that has just started

Change: in the first 2.5 s after its start a host lets a request wait for the configuration, and for the first worker of its service, up to 1 s and a quarter of the caller's time, 400 at once; a caller that leaves is noticed. A host that stays without news refuses at once as before, and asks to come back after 0.8 s in place of 1.2, since a leader is found sooner now.

Ruled out: waiting for requests that other hosts pass on, which have others to ask; waiting longer, which would take the time that the answer needs.

--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -32,6 +32,7 @@
 mod service;
 mod service_loads;
 pub mod spill;
+pub mod start_wait;
 pub mod verdict;
 mod window;
 mod worker_health;
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -11,5 +11,6 @@
 mod retries;
 mod seed;
 mod spill;
+mod start_wait;
 mod verdict;
 mod workers;
--- /dev/null
+++ b/crates/anvillift-fleet/tests/testsuite/start_wait.rs
@@ -0,0 +1,34 @@
+//! Requests at a host that has just started.
+
+use anvillift_fleet::start_wait;
+use anvillift_fleet::start_wait::Sight;
+
+const SIGHT: Sight = Sight { started_ago_ms: 100, caller_ms: 4_000, waiting: 0 };
+
+/// The pattern: every host has lost power, callers press on, and the
+/// configuration arrives 0.7 s after the hosts are back. All that comes in the
+/// meantime is served when it does, none is sent away.
+#[test]
+fn what_comes_while_a_fleet_starts_again_is_not_sent_away() {
+    const NEWS_MS: u64 = 700;
+    for arrived_ms in 0..NEWS_MS {
+        let waits_ms = start_wait::wait_ms(&Sight { started_ago_ms: arrived_ms, ..SIGHT });
+        assert!(arrived_ms + waits_ms >= NEWS_MS, "{arrived_ms}");
+    }
+}
+
+#[test]
+fn a_host_that_stays_without_news_refuses_at_once() {
+    assert_eq!(start_wait::wait_ms(&Sight { started_ago_ms: 5_000, ..SIGHT }), 0);
+}
+
+#[test]
+fn most_of_a_callers_time_is_kept_for_the_answer() {
+    assert_eq!(start_wait::wait_ms(&Sight { caller_ms: 800, ..SIGHT }), 200);
+    assert!(start_wait::wait_ms(&Sight { caller_ms: u64::MAX, ..SIGHT }) <= 1_000);
+}
+
+#[test]
+fn only_so_many_wait() {
+    assert_eq!(start_wait::wait_ms(&Sight { waiting: 400, ..SIGHT }), 0);
+}
--- a/crates/anvillift-node/src/entry/final_answer.rs
+++ b/crates/anvillift-node/src/entry/final_answer.rs
@@ -22,7 +22,7 @@
 impl GivenUp {
     pub(crate) const NO_WORKER: Self = Self::retry(Code::NoUpstream, 300);
     /// A core that has just started needs about as long to find its leader.
-    pub(crate) const NO_CONFIGURATION: Self = Self::retry(Code::NotReady, 1_200);
+    pub(crate) const NO_CONFIGURATION: Self = Self::retry(Code::NotReady, 800);
     /// Other hosts take the request at once.
     pub(crate) const LEAVING: Self = Self::retry(Code::Draining, 10);
     pub(crate) const UNKNOWN: Self = Self::last(Code::UpstreamBroke);
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -12,11 +12,15 @@
 use tokio::{task, time};
 
 use crate::entry::Entry;
+use crate::entry::wait::Waited;
+use crate::node::Known;
 use crate::respond::Reply;
 use crate::{clock, listen};
 
 /// Time beyond the idle limit for which a connection is kept, in milliseconds.
 const IDLE_MARGIN_MS: u64 = 3_000;
+/// Time taken for a request whose caller states none, in milliseconds.
+const UNSTATED_TIME_MS: u64 = 2_000;
 /// Longest time for a body, in milliseconds.
 const BODY_WITHIN_MS: u64 = 10_000;
 
@@ -141,6 +145,13 @@
         let id_field = self.node.dialect.headers.request_id;
         let id = head.headers.get(id_field).unwrap_or("-").to_owned();
         let target = head.target.clone();
+        let caller_ms = self.caller_ms(&head);
+        if origin == Origin::Caller {
+            let knows = |known: &Known| known.configuration.is_some();
+            if self.await_known(connection, &id, caller_ms, knows).await == Waited::CallerLeft {
+                return Next::Close;
+            }
+        }
         let request = match self.admit(head, body, origin, arrived_ms) {
             Ok(request) => request,
             Err(given_up) => {
@@ -155,12 +166,23 @@
             }
         };
         if origin == Origin::Caller {
-            let mut load = self.load.borrow_mut();
-            load.retries.earn(arrived_ms, &request.service);
+            self.load.borrow_mut().retries.earn(arrived_ms, &request.service);
+            let knows = |known: &Known| known.workers.ready(&request.service).next().is_some();
+            let waited = self.await_known(connection, &request.id, caller_ms, knows).await;
+            if waited == Waited::CallerLeft {
+                return Next::Close;
+            }
         }
         self.forward(connection, &request, keeps).await
     }
 
+    /// Time that a caller gives its request, in milliseconds.
+    fn caller_ms(&self, head: &RequestHead) -> u64 {
+        let field = self.node.dialect.headers.deadline_ms;
+        let stated = head.headers.get(field).and_then(|text| text.parse().ok());
+        stated.unwrap_or(UNSTATED_TIME_MS)
+    }
+
     /// Reads the body of a request, if it has one.
     async fn read_body(
         &self,
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod resume;
 mod target;
+mod wait;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -30,6 +31,7 @@
 };
 use anvillift_schema::name::Name;
 use bytes::Bytes;
+use tokio::sync::Notify;
 use tokio::{task, time};
 
 use crate::core::seen;
@@ -65,6 +67,10 @@
     pub(crate) started_ms: u64,
     /// Requests that are being served.
     pub(crate) in_service: Cell<u64>,
+    /// Requests that wait for what is not known yet.
+    waiting: Cell<usize>,
+    /// Tells those of each change of what is known.
+    news: Notify,
     /// Bodies held in memory, in bytes.
     pub(crate) held_body_bytes: Cell<u64>,
     /// When the planned stop began.
@@ -85,6 +91,8 @@
             control_pull: RefCell::default(),
             started_ms: clock::now_ms(),
             in_service: Cell::new(0),
+            waiting: Cell::new(0),
+            news: Notify::new(),
             held_body_bytes: Cell::new(0),
             leaving_since_ms: Cell::new(None),
         });
@@ -156,8 +164,11 @@
             }
             FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
             FleetFrame::Control(control) => {
-                if self.node.adopt_control(control) && self.is_ready() {
-                    self.node.set_state(FleetHostState::Ready);
+                if self.node.adopt_control(control) {
+                    self.news.notify_waiters();
+                    if self.is_ready() {
+                        self.node.set_state(FleetHostState::Ready);
+                    }
                 }
             }
             FleetFrame::ControlNews(news) => {
@@ -201,6 +212,7 @@
         let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
         let matters = self.node.known.borrow_mut().workers.merge(clock::now_ms(), report);
         if matters {
+            self.news.notify_waiters();
             log::info!(
                 event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
                 from = from.as_str();
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -71,6 +71,7 @@
     RequestGivenUp = 2707, "info", "A request was given up on";
     AnswerEnded = 2708, "info", "The passing on of an answer ended";
     RequestUnreadable = 2709, "info", "A request could not be read";
+    RequestWaited = 2710, "info", "A request waited for what its host did not know yet";
 }
 
 impl Event {
