Let waiting requests go as there is room for them

Cause: those that wait at a host that has just started all went to the first worker that became known.

Change: a request waits on while every known worker of the region holds its host's share of places, and those that wait are told of each request that ends.

Test: start_wait::those_that_wait_are_not_all_sent_to_the_first_worker.

--- a/crates/anvillift-fleet/tests/testsuite/start_wait.rs
+++ b/crates/anvillift-fleet/tests/testsuite/start_wait.rs
@@ -1,5 +1,6 @@
 //! Requests at a host that has just started.
 
+use anvillift_fleet::choose::Candidate;
 use anvillift_fleet::start_wait;
 use anvillift_fleet::start_wait::Sight;
 
@@ -32,3 +33,20 @@
 fn only_so_many_wait() {
     assert_eq!(start_wait::wait_ms(&Sight { waiting: 400, ..SIGHT }), 0);
 }
+
+/// The pattern: a hundred requests wait, and the first of a region's workers
+/// becomes known. It gets this host's share of its places, and the others wait
+/// for the next.
+#[test]
+fn those_that_wait_are_not_all_sent_to_the_first_worker() {
+    let mut first = Candidate { slots: 12, ..Candidate::default() };
+    let mut sent = 0;
+    while sent < 100 && start_wait::has_room(&[first.clone()], 3) {
+        first.work.requests += 1;
+        sent += 1;
+    }
+    assert_eq!(sent, 4);
+    let second = Candidate { slots: 12, ..Candidate::default() };
+    assert!(start_wait::has_room(&[first, second], 3));
+    assert!(!start_wait::has_room(&[], 3));
+}
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -125,6 +125,7 @@
     ) {
         log_attempt(request, &begun, outcome, reason);
         self.load.borrow_mut().end(clock::now_ms(), begun.flight, good);
+        self.tell_waiting();
     }
 
     /// Ends the accounts of an attempt without an answer; gives how the request
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -167,7 +167,7 @@
         };
         if origin == Origin::Caller {
             self.load.borrow_mut().retries.earn(arrived_ms, &request.service);
-            let knows = |known: &Known| known.workers.ready(&request.service).next().is_some();
+            let knows = |known: &Known| self.has_room(known, &request);
             let waited = self.await_known(connection, &request.id, caller_ms, knows).await;
             if waited == Waited::CallerLeft {
                 return Next::Close;
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -165,7 +165,7 @@
             FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
             FleetFrame::Control(control) => {
                 if self.node.adopt_control(control) {
-                    self.news.notify_waiters();
+                    self.tell_waiting();
                     if self.is_ready() {
                         self.node.set_state(FleetHostState::Ready);
                     }
@@ -212,7 +212,7 @@
         let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
         let matters = self.node.known.borrow_mut().workers.merge(clock::now_ms(), report);
         if matters {
-            self.news.notify_waiters();
+            self.tell_waiting();
             log::info!(
                 event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
                 from = from.as_str();
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -172,6 +172,7 @@
     ) {
         let now_ms = clock::now_ms();
         self.load.borrow_mut().end(now_ms, source.flight, good);
+        self.tell_waiting();
         let age_ms = request.age_ms();
         let first_ms = outlet.passed_on_ms.map_or(age_ms, |ms| ms - request.arrived_ms);
         log::info!(
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -9,7 +9,7 @@
 
 use anvillift_fleet::choose::{Candidate, Trouble};
 use anvillift_fleet::spill::Region;
-use anvillift_fleet::{Sharers, WorkerEntry, choose, spill};
+use anvillift_fleet::{Sharers, WorkerEntry, choose, spill, start_wait};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -75,6 +75,16 @@
         self.first_allowed(&known, request, troubled, "troubled")
     }
 
+    /// Whether a worker is known that could take a request now.
+    pub(super) fn has_room(&self, known: &Known, request: &Request) -> bool {
+        let region = &self.node.settings.region;
+        if !request.route.allows_region(region) {
+            return known.workers.ready(&request.service).next().is_some();
+        }
+        let candidates = self.candidates(known, request, &BTreeSet::new());
+        start_wait::has_room(&candidates, known.hosts.entries_known_in(region).len())
+    }
+
     fn candidates(
         &self,
         known: &Known,
--- a/crates/anvillift-node/src/entry/wait.rs
+++ b/crates/anvillift-node/src/entry/wait.rs
@@ -31,14 +31,11 @@
         caller_ms: u64,
         is_known: impl Fn(&Known) -> bool,
     ) -> Waited {
-        if is_known(&self.node.known.borrow()) {
-            return Waited::Over;
-        }
         let began_ms = clock::now_ms();
         let waiting = self.waiting.get();
         let started_ago_ms = began_ms - self.started_ms;
         let wait_ms = start_wait::wait_ms(&Sight { started_ago_ms, caller_ms, waiting });
-        if wait_ms == 0 {
+        if wait_ms == 0 || is_known(&self.node.known.borrow()) {
             return Waited::Over;
         }
         self.waiting.set(waiting + 1);
@@ -64,4 +61,11 @@
         );
         waited
     }
+
+    /// Tells those that wait that something has changed.
+    pub(super) fn tell_waiting(&self) {
+        if self.waiting.get() > 0 {
+            self.news.notify_waiters();
+        }
+    }
 }
