Let each of many hosts prefer a part of a region's workers

Cause: on the grown sites 30 hosts of a region share 24 to 50 workers, so a host has next to nothing under way at any of them and its counts choose by lot.

Change: the workers stand on a ring, the hosts are spread over it, and each prefers at least 8 workers, so that each worker is preferred by 4 hosts or more. Long shared parts go to their keepers as before. Regions with a few workers are not touched by it. Calls without a prompt go to other regions sooner (0.6 and 0.15 batches in place of 0.8 and 0.4).

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -4,7 +4,8 @@
 //! a prompt with a long shared part goes where that part is likely to be kept:
 //! each part ranks the workers by a hash that all hosts compute alike, and the
 //! first of the ranking that isn't much busier than the others takes it.
-//! Everything else goes to the less loaded of the candidates.
+//! Everything else goes to the less loaded of the candidates that this host
+//! prefers.
 
 use anvillift_schema::name::Name;
 use anvillift_schema::rendezvous;
@@ -61,6 +62,8 @@
     pub is_cold: bool,
     /// How much it is to be avoided.
     pub trouble: Trouble,
+    /// Whether it belongs to the part of the workers that this host prefers.
+    pub is_preferred: bool,
 }
 
 impl Candidate {
@@ -79,7 +82,10 @@
 pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
     let rank = |candidate: &Candidate, key: u64| rendezvous::rank(key, &candidate.worker);
     candidates.sort_by(|left, right| {
-        let avoid = |candidate: &Candidate| (candidate.trouble, candidate.is_cold);
+        let avoid = |candidate: &Candidate| {
+            let is_apart = !candidate.is_preferred && !follows(prompt);
+            (candidate.trouble, candidate.is_cold, is_apart)
+        };
         let load = left.load().total_cmp(&right.load());
         let tie = rank(left, draw).cmp(&rank(right, draw));
         avoid(left).cmp(&avoid(right)).then(load).then(tie)
@@ -97,8 +103,8 @@
         .iter()
         .take_while(|other| other.load() <= least + FOLLOWED_EXCESS)
         .count();
-    let follows = (0..free).max_by_key(|index| rank(&candidates[*index], prompt.shared_id));
-    if let Some(index) = follows {
+    let keeper = (0..free).max_by_key(|index| rank(&candidates[*index], prompt.shared_id));
+    if let Some(index) = keeper {
         candidates[..=index].rotate_right(1);
     }
 }
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod service_loads;
 pub mod spill;
 pub mod start_wait;
+pub mod subset;
 pub mod verdict;
 mod window;
 mod worker_health;
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -12,5 +12,6 @@
 mod seed;
 mod spill;
 mod start_wait;
+mod subset;
 mod verdict;
 mod workers;
--- a/crates/anvillift-fleet/tests/testsuite/spill.rs
+++ b/crates/anvillift-fleet/tests/testsuite/spill.rs
@@ -1,6 +1,6 @@
 //! Requests that go to another region although the own one could take them.
 
-use anvillift_fleet::spill::Region;
+use anvillift_fleet::spill::{Pays, Region};
 use anvillift_fleet::{RegionLoads, spill};
 use anvillift_schema::fleet::{FleetLoad, FleetServiceLoad};
 use anvillift_schema::name::Name;
@@ -10,8 +10,13 @@
 }
 
 fn part_elsewhere(own_load: f64, others: &[Region]) -> f64 {
+    part_elsewhere_if(&spill::PROMPTS, own_load, others)
+}
+
+fn part_elsewhere_if(pays: &Pays, own_load: f64, others: &[Region]) -> f64 {
     let draws = (0..100).map(|draw| f64::from(draw) / 100.0);
-    draws.filter(|draw| spill::elsewhere(own_load, others, *draw).is_some()).count() as f64 / 100.0
+    let goes = |draw: &f64| spill::elsewhere(pays, own_load, others, *draw).is_some();
+    draws.filter(goes).count() as f64 / 100.0
 }
 
 /// The pattern: one region at its peak, the others in their night.
@@ -20,7 +25,10 @@
     let others = regions(&[("night", 0.1), ("evening", 0.5)]);
     let part = part_elsewhere(1.2, &others);
     assert!((0.5..=0.75).contains(&part), "{part}");
-    assert_eq!(spill::elsewhere(1.2, &others, 0.0).map(Name::as_str), Some("night"));
+    assert_eq!(
+        spill::elsewhere(&spill::PROMPTS, 1.2, &others, 0.0).map(Name::as_str),
+        Some("night")
+    );
 }
 
 #[test]
@@ -28,6 +36,18 @@
     assert_eq!(part_elsewhere(0.4, &regions(&[("night", 0.0)])), 0.0);
 }
 
+/// The pattern: two workers with six places each serve a region's commands, which
+/// take tens of milliseconds; at four fifths they queue and reject, while other
+/// regions have places free.
+#[test]
+fn calls_go_elsewhere_before_the_places_are_full() {
+    let others = regions(&[("less", 0.5)]);
+    let part = part_elsewhere_if(&spill::CALLS, 0.75, &others);
+    assert!((0.1..=0.3).contains(&part), "{part}");
+    assert_eq!(part_elsewhere(0.75, &others), 0.0, "prompts stay");
+    assert_eq!(part_elsewhere_if(&spill::CALLS, 0.75, &regions(&[("alike", 0.65)])), 0.0);
+}
+
 /// The pattern: every region is at its peak; sending work round helps nobody.
 #[test]
 fn regions_that_are_alike_keep_their_requests() {
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -9,7 +9,7 @@
 
 use anvillift_fleet::choose::{Candidate, Trouble};
 use anvillift_fleet::spill::Region;
-use anvillift_fleet::{Sharers, WorkerEntry, choose, spill, start_wait};
+use anvillift_fleet::{Sharers, WorkerEntry, choose, spill, start_wait, subset};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -100,14 +100,19 @@
                 && self.node.settings.region_of(&report.data_centre) == Some(region)
                 && !known.control.evacuated.contains(&report.data_centre)
         });
-        let candidate = |entry: &WorkerEntry| Candidate {
+        let usable: Vec<&WorkerEntry> = usable.collect();
+        let hosts = known.hosts.entries_known_in(region);
+        let ids = usable.iter().map(|entry| &entry.report.id);
+        let preferred = subset::preferred(ids, &hosts, &self.node.me().name);
+        let candidate = |entry: &&WorkerEntry| Candidate {
             worker: entry.report.id.clone(),
             work: load.work(&entry.report.id),
             slots: entry.report.slots,
             is_cold: entry.cold_until_ms > now_ms,
             trouble: load.trouble(now_ms, &entry.report.id),
+            is_preferred: preferred.contains(&entry.report.id),
         };
-        usable.map(candidate).collect()
+        usable.iter().map(candidate).collect()
     }
 
     fn first_allowed<'a>(
@@ -165,7 +170,9 @@
             })
             .collect();
         let draw = self.load.borrow_mut().rng.random();
-        let region = spill::elsewhere(own_load?, &others, draw)?;
+        let has_prompt = request.prompt.input_tokens > 0;
+        let pays = if has_prompt { spill::PROMPTS } else { spill::CALLS };
+        let region = spill::elsewhere(&pays, own_load?, &others, draw)?;
         self.remote(known, request, &BTreeSet::new(), Some(region), "spill")
     }
 
