Count a much slower worker as more loaded than its requests say

Change: each answer's time to its first part, beside what the route's answers take at the moment, moves the worker's pace; one over 1.5 times the lower median of the candidates counts as more loaded by that much. It is forgotten by half in 4 s, so that the worker is tried again.

Tests: choose (the pattern of two workers and 30 hosts), health.

--- a/crates/anvillift-fleet/src/patience.rs
+++ b/crates/anvillift-fleet/src/patience.rs
@@ -31,9 +31,14 @@
         *present_ms += (first_ms as f64 - *present_ms) * NEWEST_WEIGHT;
     }
 
+    /// What an answer of a route takes at the moment, in milliseconds.
+    pub fn present_ms(&self, route: &str) -> Option<f64> {
+        self.first_ms.get(route).copied()
+    }
+
     /// How long an answer of a route is waited for, in milliseconds.
     pub fn wait_ms(&self, route: &str, useful_ms: u64) -> u64 {
-        let present_ms = self.first_ms.get(route).copied().unwrap_or(0.0);
+        let present_ms = self.present_ms(route).unwrap_or(0.0);
         let useful_ms = useful_ms as f64 * USEFUL_LATENCIES;
         (present_ms * PRESENT_LATENCIES).max(useful_ms).max(MIN_WAIT_MS) as u64
     }
--- a/crates/anvillift-fleet/src/worker_health.rs
+++ b/crates/anvillift-fleet/src/worker_health.rs
@@ -11,6 +11,13 @@
 /// Share of failures that is the worker's rather than the requests'.
 const FAILING_SHARE: f64 = 0.28;
 
+/// Weight of the newest answer in the pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Largest multiple of the usual time that one answer counts for.
+const MAX_PACE: f64 = 10.0;
+/// Time in which half of what is known of a pace is forgotten, in milliseconds.
+const PACE_HALF_LIFE_MS: f64 = 4_000.0;
+
 /// Settings of a [`WorkerHealth`].
 #[derive(Clone, Debug)]
 pub struct WorkerHealthSettings {
@@ -39,6 +46,9 @@
     waiting: u32,
     /// Share of failures of its own among its latest answers.
     failing_share: f64,
+    /// What its answers take beyond the usual, as a multiple of that.
+    excess_pace: f64,
+    paced_ms: u64,
 }
 
 impl WorkerHealth {
@@ -82,6 +92,20 @@
         self.failing_share += (newest - self.failing_share) * NEWEST_WEIGHT;
     }
 
+    /// An answer began after a multiple of what such answers usually take.
+    pub fn paced(&mut self, now_ms: u64, multiple: f64) {
+        let known = self.pace(now_ms);
+        let pace = known + (multiple.min(MAX_PACE) - known) * PACE_WEIGHT;
+        self.excess_pace = pace - 1.0;
+        self.paced_ms = now_ms;
+    }
+
+    /// What its answers take, as a multiple of what they usually take.
+    pub fn pace(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.paced_ms) as f64;
+        1.0 + self.excess_pace * 0.5_f64.powf(age_ms / PACE_HALF_LIFE_MS)
+    }
+
     /// Whether the worker fails so often that another is likely to do better.
     /// Some requests fail wherever they run; asking again helps none of them.
     pub fn fails_by_itself(&self) -> bool {
--- a/crates/anvillift-fleet/tests/testsuite/choose.rs
+++ b/crates/anvillift-fleet/tests/testsuite/choose.rs
@@ -81,3 +81,42 @@
     let order: Vec<&str> = workers.iter().map(|candidate| candidate.worker.as_str()).collect();
     assert_eq!(order, ["worker-2", "worker-1", "worker-0"]);
 }
+
+/// The pattern: 30 hosts share two workers with six places, and one of these has
+/// turned four times as slow. No host has more than a request or two under way.
+#[test]
+fn a_slow_worker_gets_less_although_nobody_has_many_requests_there() {
+    let chosen = |fast_requests| {
+        let work = InFlight { requests: fast_requests, unread_tokens: 0 };
+        let candidate = |name, work, pace| Candidate {
+            worker: Name::from(name),
+            slots: 6,
+            work,
+            pace,
+            ..Candidate::default()
+        };
+        let mut two =
+            vec![candidate("slow", InFlight::default(), 4.0), candidate("fast", work, 1.0)];
+        choose::order(&mut two, &Prompt::default(), 3);
+        two[0].worker.to_string()
+    };
+    assert_eq!(chosen(0), "fast");
+    assert_eq!(chosen(1), "fast");
+    assert_eq!(chosen(4), "slow", "it still takes what would wait elsewhere");
+}
+
+/// Answers differ; a worker that is a little slower for a while is not avoided.
+#[test]
+fn workers_that_differ_a_little_are_alike() {
+    let firsts: BTreeSet<Name> = (0..32)
+        .map(|draw| {
+            let mut workers = candidates(4);
+            for (number, worker) in workers.iter_mut().enumerate() {
+                worker.pace = 0.9 + 0.1 * number as f64;
+            }
+            choose::order(&mut workers, &Prompt::default(), draw);
+            workers[0].worker.clone()
+        })
+        .collect();
+    assert_eq!(firsts.len(), 4);
+}
--- a/crates/anvillift-fleet/tests/testsuite/health.rs
+++ b/crates/anvillift-fleet/tests/testsuite/health.rs
@@ -37,3 +37,17 @@
     health.heard(late_ms);
     assert_eq!(health.trouble(late_ms, &settings), Trouble::None);
 }
+
+/// A worker that has been slow is tried again after a while without answers.
+#[test]
+fn a_slow_pace_is_learned_and_forgotten() {
+    let mut health = WorkerHealth::default();
+    assert_eq!(health.pace(1_000), 1.0);
+    for answer in 0..12 {
+        health.paced(1_000 + answer * 100, 4.0);
+    }
+    let slow = health.pace(2_100);
+    assert!(slow > 2.5, "{slow}");
+    let later = health.pace(20_000);
+    assert!(later < 1.2, "{later}");
+}
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -108,9 +108,8 @@
     /// Notes that the answer of an attempt has begun.
     pub(crate) fn note_answer(&self, request: &Request, begun: &mut Begun) {
         let now_ms = clock::now_ms();
-        let mut load = self.load.borrow_mut();
-        load.answered(now_ms, &mut begun.flight);
-        load.patience.observe(&request.route.name, now_ms - begun.began_ms);
+        let (route, first_ms) = (&request.route.name, now_ms - begun.began_ms);
+        self.load.borrow_mut().answered(now_ms, &mut begun.flight, route, first_ms);
     }
 
     /// Ends the accounts of an attempt whose answer is not passed on; `good`
--- a/crates/anvillift-node/src/entry/load.rs
+++ b/crates/anvillift-node/src/entry/load.rs
@@ -46,6 +46,11 @@
         health.map_or(Trouble::None, |health| health.trouble(now_ms, &self.health_settings))
     }
 
+    /// What a worker's answers take, as a multiple of what they usually take.
+    pub(crate) fn pace(&self, now_ms: u64, worker: &str) -> f64 {
+        self.health.get(worker).map_or(1.0, |health| health.pace(now_ms))
+    }
+
     /// A request is sent.
     pub(crate) fn begin(&mut self, now_ms: u64, worker: &Name, prompt: &Prompt) -> Flight {
         self.health.entry(worker.clone()).or_default().sent(now_ms);
@@ -59,10 +64,23 @@
         }
     }
 
-    /// The first bytes of an answer arrived.
-    pub(crate) fn answered(&mut self, now_ms: u64, flight: &mut Flight) {
+    /// The first bytes of an answer on a route arrived, so long after the
+    /// request was sent.
+    pub(crate) fn answered(
+        &mut self,
+        now_ms: u64,
+        flight: &mut Flight,
+        route: &Name,
+        first_ms: u64,
+    ) {
         self.work.read(flight);
         self.heard(now_ms, flight.worker());
+        if let Some(present_ms) = self.patience.present_ms(route)
+            && let Some(health) = self.health.get_mut(flight.worker())
+        {
+            health.paced(now_ms, first_ms as f64 / present_ms.max(1.0));
+        }
+        self.patience.observe(route, first_ms);
     }
 
     /// A worker answered, with a failure of its own or not; whether it fails so
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -111,6 +111,7 @@
             is_cold: entry.cold_until_ms > now_ms,
             trouble: load.trouble(now_ms, &entry.report.id),
             is_preferred: preferred.contains(&entry.report.id),
+            pace: load.pace(now_ms, &entry.report.id),
         };
         usable.iter().map(candidate).collect()
     }
