Wait less at a start: what has waited long takes places from what is in time

Requests that have waited a second are late already; let go together they are served before those that come in time.

Change: 0.3 s at most.

--- a/crates/anvillift-fleet/src/start_wait.rs
+++ b/crates/anvillift-fleet/src/start_wait.rs
@@ -3,17 +3,18 @@
 //! Most of what comes in the second after a loss of power could be served a
 //! moment later: the configuration and the workers are on their way. A caller
 //! that is refused comes back over a new connection, later, and not often. So
-//! such a request waits, for a part of its time. Workers become known one after
-//! the other, so those that wait are let go as there is room, not all to the
-//! first worker. A host that has been without news for longer refuses at once,
-//! since nothing says that any will come.
+//! such a request waits, though not for long: what has waited longer is late
+//! already, and let go it takes the places of what comes in time. Workers become
+//! known one after the other, so those that wait are let go as there is room, not
+//! all to the first worker. A host that has been without news for longer refuses
+//! at once, since nothing says that any will come.
 
 use crate::choose::Candidate;
 
 /// Time after the start in which news is expected, in milliseconds.
 const NEWS_WITHIN_MS: u64 = 2_500;
 /// Longest wait, in milliseconds.
-const MAX_WAIT_MS: u64 = 1_000;
+const MAX_WAIT_MS: u64 = 300;
 /// Part of a caller's time that may be spent.
 const TIME_DIVISOR: u64 = 4;
 /// Requests that may wait at a host.
