Let one core tell each entry host which others are there

Test: directory::each_entry_host_is_told_by_one_core, in place of the one for whole regions, which it includes.

--- a/crates/anvillift-fleet/src/directory.rs
+++ b/crates/anvillift-fleet/src/directory.rs
@@ -6,10 +6,7 @@
 //! Hosts that leave, start or have gone silent are never named beside one that
 //! is ready.
 
-use std::collections::BTreeSet;
-
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
-use anvillift_schema::name::Name;
 
 use crate::host_table::HostTable;
 
@@ -32,19 +29,20 @@
     choices.into_iter().find(|addresses| !addresses.is_empty()).unwrap_or_default()
 }
 
-/// The regions whose entry hosts a core tells which of them it hears: its own,
-/// and those without a core of theirs, which the first of the cores takes over.
-pub fn regions_told_by(hosts: &HostTable, now_ms: u64, core: &FleetHost) -> BTreeSet<Name> {
+/// The entry hosts that a core tells which others are there. Each is told by one
+/// core: the first of its data centre, else of its region, else of all.
+pub fn told_by(hosts: &HostTable, now_ms: u64, core: &FleetHost) -> Vec<FleetHost> {
     let heard = hosts.heard_directly(now_ms);
-    let is_core = |host: &&FleetHost| host.role == FleetHostRole::Core;
-    let with_core: BTreeSet<&Name> =
-        heard.iter().filter(is_core).map(|host| &host.region).chain([&core.region]).collect();
-    let is_first = heard.iter().filter(is_core).all(|host| host.name >= core.name);
-    let without_core = heard
-        .iter()
-        .map(|host| &host.region)
-        .filter(|region| is_first && !with_core.contains(region));
-    without_core.chain([&core.region]).cloned().collect()
+    let others = heard.iter().filter(|host| host.role == FleetHostRole::Core);
+    let cores: Vec<&FleetHost> = others.chain([core]).collect();
+    let teller = |entry: &FleetHost| {
+        let distance =
+            |core: &FleetHost| (core.data_centre != entry.data_centre, core.region != entry.region);
+        cores.iter().min_by_key(|core| (distance(core), &core.name)).map(|core| &core.name)
+    };
+    let is_told =
+        |host: &&FleetHost| host.role == FleetHostRole::Entry && teller(host) == Some(&core.name);
+    heard.iter().filter(is_told).cloned().collect()
 }
 
 fn usable(
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -106,20 +106,33 @@
     assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
 }
 
+/// Each entry host is told by one core, so that the lists stay small, and by one
+/// that is near, so that a cut leaves it to those that it reaches.
 #[test]
-fn the_first_core_tells_regions_without_one() {
-    let hosts = table(&[
-        core("c1", "north"),
-        core("c2", "south"),
-        host("n1", "north", FleetHostState::Ready),
-        host("w1", "west", FleetHostState::Ready),
-    ]);
-    let told = |name: &str, region: &str| {
-        let regions = directory::regions_told_by(&hosts, NOW_MS, &core(name, region));
-        regions.iter().map(ToString::to_string).collect::<Vec<_>>()
+fn each_entry_host_is_told_by_one_core() {
+    let in_data_centre =
+        |host: FleetHost, name: &str| FleetHost { data_centre: Name::from(name), ..host };
+    let cores = [
+        in_data_centre(core("c1", "north"), "north-a"),
+        in_data_centre(core("c2", "north"), "north-b"),
+        in_data_centre(core("c3", "south"), "south-a"),
+    ];
+    let ready = |name, region| host(name, region, FleetHostState::Ready);
+    let entries = [
+        in_data_centre(ready("n1", "north"), "north-a"),
+        in_data_centre(ready("n2", "north"), "north-b"),
+        in_data_centre(ready("n3", "north"), "north-c"),
+        in_data_centre(ready("s1", "south"), "south-b"),
+        in_data_centre(ready("w1", "west"), "west-a"),
+    ];
+    let hosts = table(&[cores.as_slice(), entries.as_slice()].concat());
+    let told = |core: &FleetHost| {
+        let told = directory::told_by(&hosts, NOW_MS, core);
+        told.iter().map(|host| host.name.to_string()).collect::<Vec<_>>()
     };
-    assert_eq!(told("c1", "north"), ["north", "west"]);
-    assert_eq!(told("c2", "south"), ["south"]);
+    assert_eq!(told(&cores[0]), ["n1", "n3", "w1"]);
+    assert_eq!(told(&cores[1]), ["n2"]);
+    assert_eq!(told(&cores[2]), ["s1"]);
 }
 
 /// The pattern: a fleet runs for hours, and its hosts change rarely. What was
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -83,13 +83,10 @@
         let known = self.node.known.borrow();
         let mut heard = known.hosts.heard_directly(now_ms);
         heard.retain(|host| host.role == FleetHostRole::Entry);
-        for region in directory::regions_told_by(&known.hosts, now_ms, &self.node.me()) {
-            let there = |host: &&FleetHost| host.region == region;
-            let told = heard.iter().filter(|host| tells_all || there(host));
+        for entry in directory::told_by(&known.hosts, now_ms, &self.node.me()) {
+            let told = heard.iter().filter(|host| tells_all || host.region == entry.region);
             let hosts: Vec<Name> = told.map(|host| host.name.clone()).collect();
-            for host in heard.iter().filter(there) {
-                hub.send(&host.name, FleetFrame::Heard(FleetHeard { hosts: hosts.clone() }));
-            }
+            hub.send(&entry.name, FleetFrame::Heard(FleetHeard { hosts }));
         }
     }
 
