Forget what is gone, and give up a share before others give it away

Change: entry hosts forget workers 120 s after they are gone, and what belongs to routes and services that are gone; a host that has heard no core for 45 s uses none of what hosts share.

Tests: workers_that_are_gone_are_forgotten_and_those_that_serve_are_not; the test of hosts that are not forgotten also asks for the share.

--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -14,6 +14,9 @@
 const DIRECT_ALIVE_MS: u64 = 2_500;
 /// Time after which a silent host is forgotten, in milliseconds.
 const FORGET_AFTER_MS: u64 = 60_000;
+/// Time out of touch after which a host gives up its part of what hosts share:
+/// before the others forget it, in milliseconds.
+const SHARE_UNTIL_MS: u64 = 45_000;
 
 /// How long a table trusts what other hosts say.
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +112,14 @@
         self.hosts.values().filter(sure).map(|heard| heard.host.clone()).collect()
     }
 
+    /// Whether this host may use its part of what hosts share. One that has been
+    /// out of touch for long may have been forgotten, and its part given away.
+    pub fn holds_share(&self, now_ms: u64) -> bool {
+        let cores = self.hosts.values().filter(|heard| heard.host.role == FleetHostRole::Core);
+        let heard_ms = cores.filter_map(|heard| heard.direct_ms).max();
+        heard_ms.is_some_and(|heard_ms| heard_ms + SHARE_UNTIL_MS >= now_ms)
+    }
+
     /// Whether this host trusts what cores tell and hears none.
     fn is_out_of_touch(&self, now_ms: u64) -> bool {
         let is_core = |heard: &Heard| heard.host.role == FleetHostRole::Core;
--- a/crates/anvillift-fleet/src/patience.rs
+++ b/crates/anvillift-fleet/src/patience.rs
@@ -31,6 +31,11 @@
         *present_ms += (first_ms as f64 - *present_ms) * NEWEST_WEIGHT;
     }
 
+    /// Forgets routes that are gone.
+    pub fn retain(&mut self, is_there: impl Fn(&Name) -> bool) {
+        self.first_ms.retain(|route, _| is_there(route));
+    }
+
     /// What an answer of a route takes at the moment, in milliseconds.
     pub fn present_ms(&self, route: &str) -> Option<f64> {
         self.first_ms.get(route).copied()
--- a/crates/anvillift-fleet/src/retry_share.rs
+++ b/crates/anvillift-fleet/src/retry_share.rs
@@ -74,6 +74,11 @@
         (spent.retries.count(now_ms) as f64) + 1.0 <= allowed
     }
 
+    /// Forgets services that are no longer served.
+    pub fn retain(&mut self, is_served: impl Fn(&Name) -> bool) {
+        self.services.retain(|service, _| is_served(service));
+    }
+
     fn spent(&mut self, service: &Name) -> &mut Spent {
         let window_ms = self.settings.window_ms;
         self.services.entry(service.clone()).or_insert_with(|| Spent {
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -140,6 +140,17 @@
         expired
     }
 
+    /// Forgets workers that have long been gone; those that serve are told of
+    /// again only when they change.
+    pub fn forget_gone(&mut self, now_ms: u64) {
+        let serves = |entry: &WorkerEntry| {
+            matches!(entry.report.state, FleetWorkerState::Ready | FleetWorkerState::Draining)
+        };
+        self.workers.retain(|_, entry| serves(entry) || entry.heard_ms + FORGET_AFTER_MS >= now_ms);
+        let workers = &self.workers;
+        self.by_address.retain(|_, id| workers.contains_key(id));
+    }
+
     /// A worker by its id.
     pub fn get(&self, id: &str) -> Option<&WorkerEntry> {
         self.workers.get(id)
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -152,8 +152,11 @@
     };
     pass(&mut hosts, 300, &["n1", "c1"], &["n2"]);
     assert_eq!(hosts.entries_known(), 2, "told of again and again");
-    pass(&mut hosts, 300, &["n1"], &[]);
+    pass(&mut hosts, 40, &["n1"], &[]);
+    assert!(hosts.holds_share(NOW_MS + 340_000));
+    pass(&mut hosts, 260, &["n1"], &[]);
     assert_eq!(hosts.entries_known(), 2, "out of touch");
+    assert!(!hosts.holds_share(NOW_MS + 600_000), "the others have forgotten this one by now");
     pass(&mut hosts, 30, &["n1", "c1"], &[]);
     assert_eq!(hosts.entries_known(), 2, "in touch again for a little while");
     pass(&mut hosts, 60, &["n1", "c1"], &[]);
--- a/crates/anvillift-fleet/tests/testsuite/workers.rs
+++ b/crates/anvillift-fleet/tests/testsuite/workers.rs
@@ -119,3 +119,18 @@
     assert_eq!(told_cold_ms(NOW_MS + 1_300), 0);
     assert!(told_cold_ms(NOW_MS + 2_500) > 0);
 }
+
+/// The pattern: a fleet runs for days and its workers are replaced every hour.
+#[test]
+fn workers_that_are_gone_are_forgotten_and_those_that_serve_are_not() {
+    let mut table = WorkerTable::default();
+    table.merge(NOW_MS, FleetWorker { address: "10.1.0.8:80".to_owned(), ..report("old", 1, 5) });
+    table.merge(NOW_MS, report("stays", 1, 5));
+    let left = FleetWorker { state: FleetWorkerState::Left, ..report("old", 1, 6) };
+    table.merge(NOW_MS + 1_000, FleetWorker { address: "10.1.0.8:80".to_owned(), ..left });
+    table.forget_gone(NOW_MS + 60_000);
+    assert!(table.get("old").is_some(), "late reports may still come");
+    table.forget_gone(NOW_MS + 3_600_000);
+    assert!(table.get("old").is_none());
+    assert!(is_ready(&table, "stays"));
+}
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -158,9 +158,11 @@
 
     /// Whether another worker could be asked now.
     pub(crate) fn could_move(&self, request: &Request, attempts: &Attempts) -> bool {
-        let hosts = self.node.known.borrow().hosts.entries_known();
-        let allows =
-            self.load.borrow_mut().retries.allows(clock::now_ms(), &request.service, hosts);
+        let now_ms = clock::now_ms();
+        let hosts = self.sharing_hosts(now_ms);
+        let allows = hosts.is_some_and(|hosts| {
+            self.load.borrow_mut().retries.allows(now_ms, &request.service, hosts)
+        });
         allows && self.next_target(request, &attempts.tried).is_some()
     }
 
@@ -178,8 +180,17 @@
     }
 
     fn may_retry(&self, request: &Request) -> bool {
-        let hosts = self.node.known.borrow().hosts.entries_known();
-        self.load.borrow_mut().retries.spend(clock::now_ms(), &request.service, hosts)
+        let now_ms = clock::now_ms();
+        self.sharing_hosts(now_ms).is_some_and(|hosts| {
+            self.load.borrow_mut().retries.spend(now_ms, &request.service, hosts)
+        })
+    }
+
+    /// Hosts that share limits with this one, itself included, while it may use
+    /// its part.
+    fn sharing_hosts(&self, now_ms: u64) -> Option<usize> {
+        let known = self.node.known.borrow();
+        known.hosts.holds_share(now_ms).then(|| known.hosts.entries_known())
     }
 
     /// Whether the worker's own failure is better answered by another worker.
--- a/crates/anvillift-node/src/entry/load.rs
+++ b/crates/anvillift-node/src/entry/load.rs
@@ -11,6 +11,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::node::Known;
+
 /// What this host has sent and how it went.
 pub(crate) struct Load {
     pub(crate) cold: ColdShare,
@@ -103,6 +105,18 @@
         self.work.end(flight);
     }
 
+    /// Forgets workers, hosts, routes and services that are gone.
+    pub(crate) fn forget_gone(&mut self, known: &Known) {
+        let is_known =
+            |name: &Name| known.workers.get(name).is_some() || known.hosts.get(name).is_some();
+        self.health.retain(|name, _| is_known(name));
+        if let Some(configuration) = &known.configuration {
+            let routes = &configuration.routes;
+            self.patience.retain(|name| routes.iter().any(|route| route.name == *name));
+            self.retries.retain(|name| configuration.services.contains_key(name));
+        }
+    }
+
     /// A worker could not be reached.
     pub(crate) fn unreachable(&mut self, now_ms: u64, worker: &Name) {
         let health = self.health.entry(worker.clone()).or_default();
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -48,6 +48,8 @@
 
 /// Between checks of what time alone changes.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
+/// Turns of housekeeping between two looks for what is gone.
+const FORGET_TURNS: u64 = 10;
 /// Between two reports of the own load.
 const TELL_LOAD: Duration = Duration::from_millis(250);
 /// Shortest stay after the planned stop has begun: callers use what the
@@ -247,6 +249,7 @@
 
     async fn keep_house(self: Rc<Self>) {
         let mut turn = time::interval(HOUSEKEEPING);
+        let mut turns: u64 = 0;
         loop {
             turn.tick().await;
             let now_ms = clock::now_ms();
@@ -258,7 +261,13 @@
                 self.want_control(&core);
             }
             self.node.note_alive();
-            self.node.known.borrow_mut().hosts.forget(now_ms);
+            turns += 1;
+            if turns.is_multiple_of(FORGET_TURNS) {
+                let mut known = self.node.known.borrow_mut();
+                known.hosts.forget(now_ms);
+                known.workers.forget_gone(now_ms);
+                self.load.borrow_mut().forget_gone(&known);
+            }
             metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
         }
     }
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -132,15 +132,17 @@
         let is_settled = now_ms >= self.started_ms + SETTLED_AFTER_MS;
         let sharers = Sharers { me: &me, hosts: &hosts, is_settled };
         let cold_per_s = service.cold_per_s * settings.cold_factor + settings.cold_extra;
+        let holds_share = known.hosts.holds_share(now_ms);
         let mut allowed = candidates.filter(|candidate| {
             !candidate.is_cold
                 || service.cold_per_s <= 0.0
-                || self.load.borrow_mut().cold.take(
-                    now_ms,
-                    &candidate.worker,
-                    cold_per_s * COLD_USE,
-                    &sharers,
-                )
+                || holds_share
+                    && self.load.borrow_mut().cold.take(
+                        now_ms,
+                        &candidate.worker,
+                        cold_per_s * COLD_USE,
+                        &sharers,
+                    )
         });
         let chosen = allowed.next()?;
         let address = known.workers.get(&chosen.worker)?.report.address.parse().ok()?;
