--- a/crates/anvillift-telemetry/src/burn/mod.rs
+++ b/crates/anvillift-telemetry/src/burn/mod.rs
@@ -15,6 +15,5 @@
 mod text;
 
 pub use alert::{ALERT_PAIRS, AlertPair};
-pub use plot::PlotError;
 pub use recorder::BurnRecorder;
 pub use report::{AlertState, BurnReport, ProfileReport};
--- a/crates/anvillift-telemetry/src/burn/plot.rs
+++ b/crates/anvillift-telemetry/src/burn/plot.rs
@@ -9,6 +9,7 @@
 use plotters::style::BLACK;
 
 use super::report::{BurnReport, ProfileReport};
+use crate::plot_error::PlotError;
 
 /// Size of the plot, in pixels.
 const SIZE_PX: (u32, u32) = (960, 480);
@@ -17,18 +18,11 @@
 const LEGEND_LINE_PX: i32 = 18;
 const HOUR_MS: f64 = 60.0 * 60.0 * 1000.0;
 
-/// Why a plot could not be drawn.
-#[derive(Debug, snafu::Snafu)]
-#[snafu(display("the plot could not be drawn: {reason}"))]
-pub struct PlotError {
-    reason: String,
-}
-
 impl BurnReport {
     /// Draws the burn rate of each profile over time as an SVG document.
     pub fn to_svg(&self) -> Result<String, PlotError> {
         let mut svg = String::new();
-        self.draw(&mut svg).map_err(|error| PlotError { reason: error.to_string() })?;
+        self.draw(&mut svg).map_err(|error| PlotError::new(error.as_ref()))?;
         Ok(svg)
     }
 
--- a/crates/anvillift-telemetry/src/lib.rs
+++ b/crates/anvillift-telemetry/src/lib.rs
@@ -1,12 +1,17 @@
-//! Structured logs and service-level burn.
+//! Structured logs, service-level burn and the report of a day.
 //!
 //! [`log_init`] sends the records of the `log` crate to standard error or a
 //! file, with numbered events as text or JSON lines. A daemon counts its
 //! requests in a [`BurnRecorder`]; the operators' tool merges the counts of all
-//! daemons into a [`BurnReport`], which is shown as text, JSON or SVG.
+//! daemons into a [`BurnReport`], which is shown as text, JSON or SVG. So is a
+//! [`DayReport`], which a [`DayRecorder`] makes of the log lines of entry hosts.
 
 pub mod burn;
+pub mod day;
 pub mod logging;
+mod plot_error;
 
 pub use burn::{BurnRecorder, BurnReport};
+pub use day::{DayRecorder, DayReport};
 pub use logging::{LogError, log_init};
+pub use plot_error::PlotError;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -89,7 +89,7 @@
             Command::Change(command) => command.execute(&self.client()?, self.format).await,
             Command::Control(command) => command.execute(&self.client()?, self.format).await,
             Command::Order(command) => command.execute(&self.client()?, self.format).await,
-            Command::Report(command) => command.execute(&self.client()?, self.format).await,
+            Command::Report(command) => command.execute(|| self.client(), self.format).await,
             Command::Settings(command) => command.execute(self.format),
         }
     }
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -7,7 +7,7 @@
 use anvillift_schema::burn::BurnCounters;
 use anvillift_schema::name::Name;
 use anvillift_schema::operators::HostStatus;
-use anvillift_telemetry::BurnReport;
+use anvillift_telemetry::{BurnReport, DayRecorder};
 use snafu::ResultExt;
 use tokio::task::JoinSet;
 
@@ -27,6 +27,7 @@
 #[argh(subcommand)]
 enum Kind {
     Burn(Burn),
+    Day(Day),
 }
 
 /// Report service-level burn by profile, from all daemons.
@@ -40,11 +41,50 @@
     svg: Option<PathBuf>,
 }
 
+/// Report what became of a day's requests, from the log lines of entry hosts.
+///
+/// Lines are JSON; what stands before the first brace of a line is skipped.
+#[derive(argh::FromArgs, Debug)]
+#[argh(subcommand, name = "day")]
+struct Day {
+    /// also draw the requests of each second to this SVG file
+    #[argh(option)]
+    svg: Option<PathBuf>,
+    /// files with log lines
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
 impl Report {
-    /// Collects and prints the report.
-    pub(crate) async fn execute(&self, client: &Client, format: Format) -> Result<(), Error> {
-        let Kind::Burn(burn) = &self.kind;
-        burn.execute(client, format).await
+    /// Collects and prints the report; only that of burn asks hosts.
+    pub(crate) async fn execute(
+        &self,
+        client: impl FnOnce() -> Result<Client, Error>,
+        format: Format,
+    ) -> Result<(), Error> {
+        match &self.kind {
+            Kind::Burn(burn) => burn.execute(&client()?, format).await,
+            Kind::Day(day) => day.execute(format),
+        }
+    }
+}
+
+impl Day {
+    fn execute(&self, format: Format) -> Result<(), Error> {
+        if self.files.is_empty() {
+            return Err(Error::Usage { message: "give a file with log lines".to_owned() });
+        }
+        let mut recorder = DayRecorder::default();
+        for path in &self.files {
+            let lines = fs::read(path).context(FileSnafu { path })?;
+            String::from_utf8_lossy(&lines).lines().for_each(|line| recorder.add(line));
+        }
+        let report = recorder.report();
+        if let Some(path) = &self.svg {
+            let svg = report.to_svg().context(PlotSnafu)?;
+            fs::write(path, svg).context(FileSnafu { path })?;
+        }
+        output::print(format, &report, &report)
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -77,7 +77,7 @@
     },
     /// The burn plot could not be drawn.
     #[snafu(display("{source}"))]
-    Plot { source: anvillift_telemetry::burn::PlotError },
+    Plot { source: anvillift_telemetry::PlotError },
 }
 
 impl Error {
--- a/tests/testsuite/cli.rs
+++ b/tests/testsuite/cli.rs
@@ -248,3 +248,26 @@
 fn arguments_are_checked(#[case] arguments: &[&str], #[case] exit: i32) {
     assert_eq!(tool::run(arguments).code, exit);
 }
+
+#[test]
+fn a_day_is_reported_from_files_without_a_host() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let log = folder.path().join("entry.log");
+    let line = r#"{"time":"2026-01-26T04:33:38.415Z","event":2707,"message":"given up","code":"1304","origin":"caller","route":"plans"}"#;
+    fs::write(&log, format!("{line}\n")).expect("written");
+    let svg = folder.path().join("day.svg");
+    let (log, svg) = (log.to_str().expect("a path"), svg.to_str().expect("a path"));
+    let run = tool::run(&["--format", "json", "report", "day", "--svg", svg, log]);
+    assert_eq!(run.code, 0, "{run:?}");
+    let report: Value = serde_json::from_str(&run.stdout).expect("JSON");
+    assert_eq!(report["routes"]["plans"]["given_up"]["1304"], 1);
+    assert!(fs::read_to_string(svg).expect("a plot").starts_with("<svg"));
+}
+
+#[test]
+fn a_day_without_readable_files_is_an_error() {
+    assert_eq!(tool::run(&["report", "day"]).code, 2);
+    let run = tool::run(&["report", "day", "nowhere.log"]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.stderr.contains("nowhere.log"), "{run:?}");
+}
