--- a/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
@@ -2,6 +2,7 @@
 //! doubled and reordered, and disks that lose what was not synced.
 
 mod checks;
+pub(crate) mod situations;
 
 use checks::check_change;
 
--- a/crates/anvillift-consensus/tests/testsuite/main.rs
+++ b/crates/anvillift-consensus/tests/testsuite/main.rs
@@ -3,4 +3,5 @@
 mod harness;
 mod leadership;
 mod schedules;
+mod starts;
 mod votes;
