--- a/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
+++ b/crates/anvillift-consensus/tests/testsuite/harness/mod.rs
@@ -2,9 +2,11 @@
 //! doubled and reordered, and disks that lose what was not synced.
 
 mod checks;
+mod disk;
 pub(crate) mod situations;
 
 use checks::check_change;
+use disk::Disk;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -12,7 +14,7 @@
 use anvillift_consensus::RoleKind;
 use anvillift_consensus::{Effect, Recovered, Replica, ReplicaSettings, Snapshot};
 use anvillift_schema::consensus::{
-    ConsensusEnvelope, Entry, EntryBody, SnapshotMeta, Vote, Voter, VoterSet,
+    ConsensusEnvelope, Entry, EntryBody, SnapshotMeta, Voter, VoterSet,
 };
 use anvillift_schema::name::Name;
 use rand::rngs::SmallRng;
@@ -22,29 +24,6 @@
 pub(crate) const TICK_MS: u64 = 10;
 const MAX_PENDING: usize = 400;
 
-/// What a node has written.
-#[derive(Clone, Default)]
-pub(crate) struct Disk {
-    pub(crate) vote: Option<Vote>,
-    pub(crate) snapshot: Option<Snapshot>,
-    pub(crate) entries: Vec<Entry>,
-    pub(crate) refetch_upto: Option<u64>,
-}
-
-impl Disk {
-    fn append(&mut self, entries: Vec<Entry>) {
-        if let Some(first) = entries.first() {
-            self.entries.retain(|entry| entry.index < first.index);
-        }
-        self.entries.extend(entries);
-    }
-
-    fn last_index(&self) -> u64 {
-        let snapshot = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index);
-        self.entries.last().map_or(snapshot, |entry| entry.index)
-    }
-}
-
 pub(crate) struct Node {
     pub(crate) replica: Option<Replica>,
     pub(crate) storage_id: Name,
--- a/crates/anvillift-telemetry/src/burn/plot.rs
+++ b/crates/anvillift-telemetry/src/burn/plot.rs
@@ -9,13 +9,8 @@
 use plotters::style::BLACK;
 
 use super::report::{BurnReport, ProfileReport};
-use crate::plot_error::PlotError;
+use crate::plot::{LABEL_AREA_PX, LEGEND_LINE_PX, MARGIN_PX, PlotError, SIZE_PX};
 
-/// Size of the plot, in pixels.
-const SIZE_PX: (u32, u32) = (960, 480);
-const MARGIN_PX: u32 = 16;
-const LABEL_AREA_PX: u32 = 48;
-const LEGEND_LINE_PX: i32 = 18;
 const HOUR_MS: f64 = 60.0 * 60.0 * 1000.0;
 
 impl BurnReport {
--- a/crates/anvillift-telemetry/src/day/plot.rs
+++ b/crates/anvillift-telemetry/src/day/plot.rs
@@ -8,13 +8,8 @@
 };
 
 use super::report::{DayReport, SecondReport};
-use crate::plot_error::PlotError;
+use crate::plot::{LABEL_AREA_PX, LEGEND_LINE_PX, MARGIN_PX, PlotError, SIZE_PX};
 
-/// Size of the plot, in pixels.
-const SIZE_PX: (u32, u32) = (960, 480);
-const MARGIN_PX: u32 = 16;
-const LABEL_AREA_PX: u32 = 48;
-const LEGEND_LINE_PX: i32 = 18;
 const ORANGE: RGBColor = RGBColor(230, 140, 0);
 
 /// A line of the plot: its name, colour and value of a second.
--- a/crates/anvillift-telemetry/src/lib.rs
+++ b/crates/anvillift-telemetry/src/lib.rs
@@ -9,9 +9,9 @@
 pub mod burn;
 pub mod day;
 pub mod logging;
-mod plot_error;
+mod plot;
 
 pub use burn::{BurnRecorder, BurnReport};
 pub use day::{DayRecorder, DayReport};
 pub use logging::{LogError, log_init};
-pub use plot_error::PlotError;
+pub use plot::PlotError;
