Let the shortest prefix that is not common decide the worker of a prompt

Cause: the id of the first shared part was the key of affinity. Where four instructions begin all prompts and documents follow them, all prompts of a region ranked the same few workers first.

Ruled out: a key of all shared parts alone.

Change: a prompt keeps all its shared parts (`PromptPart`); `PrefixCounts` of `anvillift-fleet` counts how often the prompts of a host's callers begin with each prefix, and the shortest prefix whose share is below half a worker's decides. Until 256 prompts have been counted the complete shared prefix does. The platform decodes the parts only; a part that can't be read makes the whole field count as missing, as its text said already.

Tests: `prefixes` of anvillift-fleet (the pattern: 972 documents below four common instructions, 40 workers). With the first part as the key four of the eleven fail, among them both cases of the pattern (one worker got 14,792 of 20,000 prompts).

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -2,9 +2,10 @@
 //!
 //! Healthy workers come before degraded ones, and warm ones before cold ones.
 //! Within such a group, a prompt with a long shared prefix goes to the worker that
-//! probably has the prefix cached: each prefix ranks the workers by a rendezvous
-//! hash, which all hosts compute identically, and the first of the ranking that is
-//! not much busier than the others is taken. Any other request goes to the least
+//! probably has the prefix cached: its affinity key, from
+//! [`PrefixCounts`](crate::PrefixCounts), ranks the workers by a rendezvous hash,
+//! which all hosts compute identically, and the first of the ranking that is not
+//! much busier than the others is taken. Any other request goes to the least
 //! loaded of the workers that this host prefers.
 //!
 //! The relative latency of a worker is the latency of its answers as a multiple of
@@ -31,19 +32,16 @@
 
 /// Whether the shared prefix of a prompt is long enough to choose a worker by its cache.
 pub fn has_affinity(prompt: &Prompt) -> bool {
-    prompt.shared_tokens >= MIN_AFFINITY_TOKENS
+    prompt.shared_tokens() >= MIN_AFFINITY_TOKENS
 }
 
-/// The worker, of the whole fleet, that most probably has the shared prefix of a
-/// prompt cached. `None` if the prefix is too short or there are no workers.
+/// The worker, of the whole fleet, that most probably has the prefix with this
+/// affinity key cached. `None` if there are no workers.
 pub fn affinity_worker<'a>(
     workers: impl Iterator<Item = &'a Name>,
-    prompt: &Prompt,
+    affinity_key: u64,
 ) -> Option<&'a Name> {
-    if !has_affinity(prompt) {
-        return None;
-    }
-    workers.max_by_key(|worker| rendezvous::rank(prompt.shared_id, worker))
+    workers.max_by_key(|worker| rendezvous::rank(affinity_key, worker))
 }
 
 /// How degraded a worker is; candidates with a lower value are preferred.
@@ -119,23 +117,22 @@
         + in_flight.unprocessed_tokens as f64 / TOKENS_PER_BATCH
 }
 
-/// Sorts the candidates, the best first. `draw` breaks ties.
-pub fn order(candidates: &mut [Candidate], prompt: &Prompt, draw: u64) {
+/// Sorts the candidates, the best first. `affinity_key` is that of the prompt, if its
+/// cached prefix decides; `draw` breaks ties.
+pub fn order(candidates: &mut [Candidate], affinity_key: Option<u64>, draw: u64) {
     let median_latency = median_latency(candidates);
     let load = |candidate: &Candidate| candidate.load(median_latency);
     let rank = |candidate: &Candidate, key: u64| rendezvous::rank(key, &candidate.worker);
     candidates.sort_by(|left, right| {
         let avoidance = |candidate: &Candidate| {
-            let is_not_preferred = !candidate.is_preferred && !has_affinity(prompt);
+            let is_not_preferred = !candidate.is_preferred && affinity_key.is_none();
             (candidate.degradation, candidate.is_cold, is_not_preferred)
         };
         let by_load = load(left).total_cmp(&load(right));
         let tie = rank(left, draw).cmp(&rank(right, draw));
         avoidance(left).cmp(&avoidance(right)).then(by_load).then(tie)
     });
-    if !has_affinity(prompt) {
-        return;
-    }
+    let Some(affinity_key) = affinity_key else { return };
     let Some(first) = candidates.first() else { return };
     let (degradation, is_cold, least_load) = (first.degradation, first.is_cold, load(first));
     let group_length = candidates
@@ -147,7 +144,7 @@
         .take_while(|other| load(other) <= least_load + MAX_AFFINITY_EXCESS_LOAD)
         .count();
     let affinity_index =
-        (0..within_load_limit).max_by_key(|index| rank(&candidates[*index], prompt.shared_id));
+        (0..within_load_limit).max_by_key(|index| rank(&candidates[*index], affinity_key));
     if let Some(index) = affinity_index {
         candidates[..=index].rotate_right(1);
     }
--- a/crates/anvillift-fleet/src/prompt.rs
+++ b/crates/anvillift-fleet/src/prompt.rs
@@ -1,15 +1,34 @@
 //! The properties of a prompt that are available before a worker has processed it.
 
+use anvillift_schema::rendezvous;
+
+use crate::prompt_part::PromptPart;
+
 /// The size of a prompt and the prefix that it may share with prompts of other
-/// requests. The prefix consists of one or more parts, each with an id.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+/// requests.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Prompt {
     /// Length of the prompt, in tokens.
     pub input_tokens: u64,
     /// Most tokens that the answer may have.
     pub output_tokens: u64,
-    /// Id of the first part of the shared prefix.
-    pub shared_id: u64,
-    /// Length of the shared prefix with all its parts, in tokens.
-    pub shared_tokens: u64,
+    /// Parts of the shared prefix, in the order of the prompt.
+    pub shared_parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// Length of the shared prefix, in tokens.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared_parts.iter().fold(0, |sum, part| sum.saturating_add(part.tokens))
+    }
+
+    /// Keys of the prefixes of the prompt, the shortest first. Each key covers the
+    /// parts up to its own, since a cached part is of use only if all parts before
+    /// it are cached too.
+    pub fn prefix_keys(&self) -> impl Iterator<Item = u64> + '_ {
+        self.shared_parts.iter().scan(0, |key, part| {
+            *key = rendezvous::mix(rendezvous::mix(*key) ^ part.id);
+            Some(*key)
+        })
+    }
 }
--- a/crates/anvillift-fleet/tests/testsuite/choose.rs
+++ b/crates/anvillift-fleet/tests/testsuite/choose.rs
@@ -3,15 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use anvillift_fleet::choose::{Candidate, Degradation};
-use anvillift_fleet::{InFlight, Prompt, choose};
+use anvillift_fleet::{InFlight, Prompt, PromptPart, choose};
 use anvillift_schema::name::Name;
 
 fn workers(count: usize) -> Vec<Name> {
     (0..count).map(|number| Name::from(format!("worker-{number}"))).collect()
 }
 
-fn long_prompt(shared_id: u64) -> Prompt {
-    Prompt { input_tokens: 17_000, output_tokens: 120, shared_id, shared_tokens: 13_300 }
+fn prompt_with_shared_tokens(tokens: u64) -> Prompt {
+    let part = PromptPart { id: 1, tokens };
+    Prompt { input_tokens: 17_000, output_tokens: 120, shared_parts: vec![part] }
 }
 
 fn candidates(count: usize) -> Vec<Candidate> {
@@ -27,9 +28,8 @@
     let workers = workers(9);
     let mut documents_by_worker: BTreeMap<&Name, usize> = BTreeMap::new();
     for document in 0..55 {
-        let prompt = long_prompt(document);
-        let worker = choose::affinity_worker(workers.iter(), &prompt);
-        let worker_of_other_host = choose::affinity_worker(workers.iter().rev(), &prompt);
+        let worker = choose::affinity_worker(workers.iter(), document);
+        let worker_of_other_host = choose::affinity_worker(workers.iter().rev(), document);
         assert_eq!(worker, worker_of_other_host, "the result depends on the order of the workers");
         *documents_by_worker.entry(worker.expect("a worker for each document")).or_default() += 1;
     }
@@ -45,9 +45,14 @@
 }
 
 #[test]
-fn a_short_shared_prefix_has_no_affinity_worker() {
-    let prompt = Prompt { shared_tokens: 92, ..long_prompt(1) };
-    assert_eq!(choose::affinity_worker(workers(3).iter(), &prompt), None);
+fn only_a_long_shared_prefix_is_worth_choosing_a_worker_for() {
+    assert!(!choose::has_affinity(&prompt_with_shared_tokens(92)));
+    assert!(choose::has_affinity(&prompt_with_shared_tokens(13_300)));
+}
+
+#[test]
+fn without_workers_no_worker_has_a_prefix_cached() {
+    assert_eq!(choose::affinity_worker([].iter(), 1), None);
 }
 
 /// Whatever a host draws, a document goes to the same one of several equal workers.
@@ -55,7 +60,7 @@
 fn a_shared_prefix_goes_to_the_same_worker_each_time() {
     let first = |draw| {
         let mut idle = candidates(4);
-        choose::order(&mut idle, &long_prompt(7), draw);
+        choose::order(&mut idle, Some(7), draw);
         idle[0].worker.clone()
     };
     let firsts: BTreeSet<Name> = (0..32).map(first).collect();
@@ -65,9 +70,8 @@
 /// A document stays at its worker as long as that worker is not much busier than the others.
 #[test]
 fn a_shared_prefix_stays_at_its_worker_until_that_is_busy() {
-    let prompt = long_prompt(7);
     let mut idle = candidates(4);
-    choose::order(&mut idle, &prompt, 1);
+    choose::order(&mut idle, Some(7), 1);
     let affinity_worker = idle[0].worker.clone();
     let busy = InFlight { requests: 40, unprocessed_tokens: 60_000 };
     let mut loaded = candidates(4);
@@ -76,7 +80,7 @@
             candidate.in_flight = busy;
         }
     }
-    choose::order(&mut loaded, &prompt, 1);
+    choose::order(&mut loaded, Some(7), 1);
     assert_ne!(loaded[0].worker, affinity_worker);
 }
 
@@ -85,7 +89,7 @@
     let mut workers = candidates(3);
     workers[0].degradation = Degradation::Failing;
     workers[1].is_cold = true;
-    choose::order(&mut workers, &Prompt::default(), 5);
+    choose::order(&mut workers, None, 5);
     let order: Vec<&str> = workers.iter().map(|candidate| candidate.worker.as_str()).collect();
     assert_eq!(order, ["worker-2", "worker-1", "worker-0"]);
 }
@@ -106,7 +110,7 @@
         };
         let mut two =
             vec![candidate("slow", InFlight::default(), 4.0), candidate("fast", in_flight, 1.0)];
-        choose::order(&mut two, &Prompt::default(), 3);
+        choose::order(&mut two, None, 3);
         two[0].worker.to_string()
     };
     assert_eq!(chosen(0), "fast");
@@ -127,7 +131,7 @@
             for (number, worker) in workers.iter_mut().enumerate() {
                 worker.relative_latency = 0.9 + 0.1 * number as f64;
             }
-            choose::order(&mut workers, &Prompt::default(), draw);
+            choose::order(&mut workers, None, draw);
             workers[0].worker.clone()
         })
         .collect();
--- a/crates/anvillift-fleet/tests/testsuite/in_flight.rs
+++ b/crates/anvillift-fleet/tests/testsuite/in_flight.rs
@@ -4,7 +4,7 @@
 use anvillift_schema::name::Name;
 
 fn prompt() -> Prompt {
-    Prompt { input_tokens: 17_000, output_tokens: 120, shared_id: 1, shared_tokens: 13_300 }
+    Prompt { input_tokens: 17_000, output_tokens: 120, ..Prompt::default() }
 }
 
 #[test]
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod health;
 mod in_flight;
+mod prefixes;
 mod retries;
 mod retry_decision;
 mod seed;
--- a/crates/anvillift-fleet/tests/testsuite/subset.rs
+++ b/crates/anvillift-fleet/tests/testsuite/subset.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use anvillift_fleet::choose::Candidate;
-use anvillift_fleet::{InFlight, Prompt, choose, subset};
+use anvillift_fleet::{InFlight, choose, subset};
 use anvillift_schema::name::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -112,7 +112,7 @@
                 ..Candidate::default()
             })
             .collect();
-        choose::order(&mut candidates, &Prompt::default(), rng.random());
+        choose::order(&mut candidates, None, rng.random());
         let chosen = workers.iter().find(|worker| **worker == candidates[0].worker);
         let chosen = chosen.expect("one of the workers");
         overloaded += usize::from(at.get(chosen).copied().unwrap_or(0) >= SLOTS);
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -1,6 +1,7 @@
 //! Admission of a request: finds its route, service and deadline, and strips
 //! header fields that are not forwarded.
 
+use anvillift_fleet::{Prompt, choose};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
+use crate::node::FleetView;
 
 /// Time after the start of the planned stop during which requests are still
 /// accepted, in milliseconds. A later one might outlast the grace period.
@@ -48,6 +50,7 @@
         let service = route.target(draw).map(|target| target.service.clone());
         let service = service.unwrap_or_else(Name::default);
         let prompt = (self.node.dialect.decode_prompt)(&head.headers);
+        let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
         self.strip_headers(&mut head);
         Ok(Request {
@@ -57,6 +60,7 @@
             route,
             service,
             prompt,
+            affinity_key,
             origin,
             arrived_ms,
             deadline_ms: arrived_ms + timeout_ms,
@@ -65,6 +69,26 @@
         })
     }
 
+    /// The affinity key of a prompt, which is counted if a caller of this host sent it.
+    fn affinity_key(
+        &self,
+        view: &FleetView,
+        service: &Name,
+        prompt: &Prompt,
+        origin: Origin,
+    ) -> Option<u64> {
+        if !choose::has_affinity(prompt) {
+            return None;
+        }
+        let workers = view.workers.ready(service).count();
+        let mut dispatch = self.dispatch.borrow_mut();
+        let counts = dispatch.prefix_counts.entry(service.clone()).or_default();
+        if origin == Origin::Caller {
+            counts.record(prompt);
+        }
+        counts.deciding_key(prompt, workers)
+    }
+
     /// Removes the fields that concern the caller's connection, those that are
     /// set for each attempt, and those that only this system may set.
     fn strip_headers(&self, head: &mut RequestHead) {
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -5,8 +5,8 @@
 
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
-    AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, Prompt, RetryShare,
-    RetryShareSettings, WorkerHealth, WorkerHealthSettings,
+    AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, PrefixCounts, Prompt,
+    RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -21,6 +21,8 @@
     /// This host's share of the retry budgets.
     pub(crate) retries: RetryShare,
     pub(crate) rng: SmallRng,
+    /// Prefixes of the prompts of this host's callers, by service.
+    pub(crate) prefix_counts: BTreeMap<Name, PrefixCounts>,
     in_flight_table: InFlightTable,
     /// Timeouts for the response head, from the recent latencies of each route.
     pub(crate) answer_timeouts: AnswerTimeouts,
@@ -35,6 +37,7 @@
             cold: ColdShare::default(),
             retries: RetryShare::new(retries),
             rng: SmallRng::seed_from_u64(seed),
+            prefix_counts: BTreeMap::new(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
@@ -131,6 +134,7 @@
             let routes = &configuration.routes;
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
             self.retries.retain(|name| configuration.services.contains_key(name));
+            self.prefix_counts.retain(|name, _| configuration.services.contains_key(name));
         }
     }
 
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -23,6 +23,9 @@
     pub(crate) service: Name,
     /// Token counts and shared prefix of the prompt, as stated by the caller.
     pub(crate) prompt: Prompt,
+    /// Key of the prefix whose cache decides between workers; `None` if the prefix is
+    /// too short for that.
+    pub(crate) affinity_key: Option<u64>,
     /// Whether a caller or another entry host sent the request.
     pub(crate) origin: Origin,
     /// Time at which the head was received.
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -55,7 +55,7 @@
         let mut candidates =
             if is_allowed_here { self.candidates(&view, request, tried) } else { Vec::new() };
         let draw = self.dispatch.borrow_mut().rng.random();
-        choose::order(&mut candidates, &request.prompt, draw);
+        choose::order(&mut candidates, request.affinity_key, draw);
         if request.origin == Origin::Caller
             && tried.is_empty()
             && let Some(target) = self.better_remote_target(&view, request)
@@ -165,8 +165,8 @@
     fn better_remote_target(&self, view: &FleetView, request: &Request) -> Option<Target> {
         let own = &self.node.settings.region;
         let own_load = self.region_load(view, request, own);
-        if choose::has_affinity(&request.prompt) {
-            return self.affinity_target(view, request, own_load);
+        if let Some(affinity_key) = request.affinity_key {
+            return self.affinity_target(view, request, affinity_key, own_load);
         }
         let regions: BTreeSet<&Name> = self.node.settings.regions.values().collect();
         let others = regions.into_iter().filter(|region| *region != own);
@@ -207,6 +207,7 @@
         &self,
         view: &FleetView,
         request: &Request,
+        affinity_key: u64,
         own_load: Option<f64>,
     ) -> Option<Target> {
         let settings = &self.node.settings;
@@ -215,8 +216,7 @@
             !view.control.evacuated.contains(&entry.report.data_centre)
                 && region_of(entry).is_some_and(|region| request.route.allows_region(region))
         });
-        let worker =
-            choose::affinity_worker(workers.map(|entry| &entry.report.id), &request.prompt)?;
+        let worker = choose::affinity_worker(workers.map(|entry| &entry.report.id), affinity_key)?;
         let region = region_of(view.workers.get(worker)?)?;
         if *region == settings.region {
             return None;
