Forward to other regions while the cores of all regions are down

Cause: an entry host counts a region as unreachable when its cores have been silent for 1.3 s. When all cores lose power at once, that holds for every region, and each request whose home is another region was refused although the entry hosts and workers of all regions were well.

Ruled out: missing reports of workers or hosts; both tables were complete.

Change: `HostTable::is_region_reachable`: silence of a region's cores shows a failed link only while another core is heard. Entry hosts stay known for as long as this host hears no core at all, as in directory answers already.

Tests: `region_contact` of anvillift-fleet; with the old rule the two about cores that are all down fail.

--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -18,6 +18,9 @@
 /// fleet-wide limits, in milliseconds. It is shorter than [`REMOVE_AFTER_MS`], after
 /// which the others divide that share among themselves.
 const SHARE_VALID_MS: u64 = 45_000;
+/// Time without a message from any core host of a region after which the region
+/// counts as unreachable, in milliseconds.
+const MAX_REGION_SILENCE_MS: u64 = 1_300;
 
 /// Times for which a [`HostTable`] relies on a report of another host.
 #[derive(Clone, Copy, Debug)]
@@ -174,14 +177,16 @@
         self.hosts.values().filter(|record| record.host.role == FleetHostRole::Entry).count()
     }
 
-    /// Entry hosts of a region that are alive and ready.
+    /// Entry hosts of a region that are ready, and alive as far as this host can know:
+    /// while it is isolated, the last reports count.
     pub fn ready_entries_in<'a>(
         &'a self,
         now_ms: u64,
         region: &'a str,
     ) -> impl Iterator<Item = &'a FleetHost> + 'a {
+        let is_isolated = self.is_isolated(now_ms);
         let ready = move |(host, alive): &(&FleetHost, bool)| {
-            *alive
+            (*alive || is_isolated)
                 && host.role == FleetHostRole::Entry
                 && host.state == FleetHostState::Ready
                 && host.region.as_str() == region
@@ -189,14 +194,22 @@
         self.iter(now_ms).filter(ready).map(|(host, _)| host)
     }
 
-    /// Time since the last direct message from any core of a region, in
-    /// milliseconds; `None` if there was none.
-    pub fn region_silent_ms(&self, now_ms: u64, region: &str) -> Option<u64> {
-        let cores = self.hosts.values().filter(|record| {
-            record.host.role == FleetHostRole::Core && record.host.region.as_str() == region
-        });
-        let last_core_ms = cores.filter_map(|record| record.last_direct_ms).max()?;
-        Some(now_ms.saturating_sub(last_core_ms))
+    /// Whether a region is reachable as far as this host can know, so that requests
+    /// may be forwarded there. A core of the region that falls silent while others are
+    /// heard shows that the link to the region has failed. While no core of any region
+    /// is heard, the cores themselves may have failed, and the entry hosts that
+    /// forward and receive requests may be well.
+    pub fn is_region_reachable(&self, now_ms: u64, region: &str) -> bool {
+        let cores = || self.hosts.values().filter(|record| record.host.role == FleetHostRole::Core);
+        let is_heard = |record: &HostRecord| {
+            record.last_direct_ms.is_some_and(|last_ms| last_ms + MAX_REGION_SILENCE_MS >= now_ms)
+        };
+        let mut cores_of_region = cores().filter(|record| record.host.region.as_str() == region);
+        if cores().any(is_heard) {
+            cores_of_region.any(is_heard)
+        } else {
+            cores_of_region.next().is_some()
+        }
     }
 
     /// Removes hosts that have been silent for a long time. Silence while this host
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod health;
 mod in_flight;
 mod prefixes;
+mod region_contact;
 mod retries;
 mod retry_decision;
 mod seed;
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -26,9 +26,6 @@
 /// Time after the start of this host by which it has received the names of all
 /// entry hosts of its region, in milliseconds.
 const ALL_HOSTS_DISCOVERED_AFTER_MS: u64 = 5_000;
-/// Time without a message from any core host of a region after which no requests
-/// are forwarded there, in milliseconds.
-const MAX_REGION_SILENCE_MS: u64 = 1_300;
 /// Most connections to one other entry host.
 const MAX_HOST_CONNECTIONS: usize = 256;
 
@@ -242,17 +239,14 @@
     ) -> Option<Target> {
         let now_ms = clock::now_ms();
         let settings = &self.node.settings;
-        let is_connected = |region: &Name| {
-            let silent_ms = view.hosts.region_silent_ms(now_ms, region);
-            silent_ms.is_some_and(|silent_ms| silent_ms <= MAX_REGION_SILENCE_MS)
-        };
+        let is_reachable = |region: &Name| view.hosts.is_region_reachable(now_ms, region);
         let serving_regions: BTreeSet<&Name> = view
             .workers
             .ready(&request.service)
             .filter(|entry| !view.control.evacuated.contains(&entry.report.data_centre))
             .filter_map(|entry| settings.region_of(&entry.report.data_centre))
             .filter(|region| **region != settings.region && request.route.allows_region(region))
-            .filter(|region| only.is_none_or(|only| only == *region) && is_connected(region))
+            .filter(|region| only.is_none_or(|only| only == *region) && is_reachable(region))
             .collect();
         let mut dispatch = self.dispatch.borrow_mut();
         let hosts: Vec<&FleetHost> = serving_regions
