List every entry host of a large region to some callers

Cause: an answer of the directory holds 64 addresses and listed the first 64 of the region by name. In a region of 126 hosts 62 never received a caller.

Change: `directory::Question` carries the caller's data centre and the answering host. If a region has more hosts than fit, those of the caller's data centre come first and the others in an order that depends on the host that answers, so that a caller who asks the same host again keeps its connections.

Tests: three in `directory` of anvillift-fleet (two data centres of 63 and of 90 hosts).

--- a/crates/anvillift-fleet/src/directory.rs
+++ b/crates/anvillift-fleet/src/directory.rs
@@ -5,17 +5,34 @@
 //! only if the region of the caller has none that serves, not even one that is
 //! leaving. Hosts that are leaving, starting or silent are never listed together
 //! with ready ones.
+//!
+//! An answer has room for a limited number of hosts. If there are more, those of the
+//! caller's data centre come first, and the others in an order that differs between
+//! the hosts that answer. Every host is thus listed to some callers, and a caller
+//! that asks the same host again receives the same hosts and keeps its connections.
 
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
+use anvillift_schema::rendezvous;
 
 use crate::host_table::HostTable;
 
 /// Most addresses in an answer.
 const MAX_ADDRESSES: usize = 64;
 
-/// Addresses of the entry hosts that a caller in a region is directed to.
-pub fn addresses(hosts: &HostTable, now_ms: u64, region: &str) -> Vec<String> {
-    let own = |host: &FleetHost| host.region.as_str() == region;
+/// A caller's question for entry hosts.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    /// Region of the caller.
+    pub region: &'a str,
+    /// Data centre of the caller; may be empty.
+    pub data_centre: &'a str,
+    /// Name of the host that answers.
+    pub answering_host: &'a str,
+}
+
+/// Addresses of the entry hosts that a caller is directed to.
+pub fn addresses(hosts: &HostTable, now_ms: u64, question: &Question<'_>) -> Vec<String> {
+    let own = |host: &FleetHost| host.region.as_str() == question.region;
     let confirmed = hosts.confirmed_alive(now_ms);
     let alive: Vec<FleetHost> = hosts
         .iter(now_ms)
@@ -29,7 +46,22 @@
         usable(&confirmed, FleetHostState::Ready, |_| true),
         usable(&alive, FleetHostState::Ready, |_| true),
     ];
-    choices.into_iter().find(|addresses| !addresses.is_empty()).unwrap_or_default()
+    let listed = choices.into_iter().find(|hosts| !hosts.is_empty()).unwrap_or_default();
+    limit(listed, question).iter().map(|host| host.caller_address.clone()).collect()
+}
+
+/// The hosts that fit into one answer, in the order of their names.
+fn limit<'a>(mut hosts: Vec<&'a FleetHost>, question: &Question<'_>) -> Vec<&'a FleetHost> {
+    if hosts.len() > MAX_ADDRESSES {
+        let key = rendezvous::hash(question.answering_host.as_bytes());
+        hosts.sort_by_key(|host| {
+            let is_elsewhere = host.data_centre.as_str() != question.data_centre;
+            (is_elsewhere, rendezvous::rank(key, &host.name))
+        });
+        hosts.truncate(MAX_ADDRESSES);
+        hosts.sort_by_key(|host| &host.name);
+    }
+    hosts
 }
 
 /// The entry hosts that a core informs about the other hosts. Each entry host is
@@ -53,13 +85,12 @@
     hosts: &[FleetHost],
     state: FleetHostState,
     wanted: impl Fn(&FleetHost) -> bool,
-) -> Vec<String> {
+) -> Vec<&FleetHost> {
     let usable = |host: &&FleetHost| {
         host.role == FleetHostRole::Entry
             && host.state == state
             && !host.caller_address.is_empty()
             && wanted(host)
     };
-    let addresses = hosts.iter().filter(usable).map(|host| host.caller_address.clone());
-    addresses.take(MAX_ADDRESSES).collect()
+    hosts.iter().filter(usable).collect()
 }
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -1,5 +1,8 @@
 //! Tests of the hosts that callers are directed to, and of the host table behind them.
 
+use std::collections::BTreeSet;
+
+use anvillift_fleet::directory::Question;
 use anvillift_fleet::{HostTable, HostTableSettings, directory};
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 use anvillift_schema::name::Name;
@@ -30,14 +33,19 @@
     table
 }
 
+fn addresses(hosts: &HostTable, now_ms: u64, region: &str) -> Vec<String> {
+    let question = Question { region, data_centre: "", answering_host: "n1" };
+    directory::addresses(hosts, now_ms, &question)
+}
+
 #[test]
 fn hosts_of_the_region_of_the_caller_come_first() {
     let hosts = table(&[
         host("n1", "north", FleetHostState::Ready),
         host("s1", "south", FleetHostState::Ready),
     ]);
-    assert_eq!(directory::addresses(&hosts, NOW_MS, "north"), ["n1"]);
-    assert_eq!(directory::addresses(&hosts, NOW_MS, "west").len(), 2);
+    assert_eq!(addresses(&hosts, NOW_MS, "north"), ["n1"]);
+    assert_eq!(addresses(&hosts, NOW_MS, "west").len(), 2);
 }
 
 #[test]
@@ -46,7 +54,7 @@
         host("n1", "north", FleetHostState::Leaving),
         host("n2", "north", FleetHostState::Ready),
     ]);
-    assert_eq!(directory::addresses(&hosts, NOW_MS, "north"), ["n2"]);
+    assert_eq!(addresses(&hosts, NOW_MS, "north"), ["n2"]);
 }
 
 /// Guards against sending callers to other regions while their own still serves:
@@ -59,14 +67,14 @@
         host("n2", "north", FleetHostState::Starting),
         host("s1", "south", FleetHostState::Ready),
     ]);
-    assert_eq!(directory::addresses(&hosts, NOW_MS, "north"), ["n1"]);
+    assert_eq!(addresses(&hosts, NOW_MS, "north"), ["n1"]);
 }
 
 #[test]
 fn a_silent_host_is_not_listed() {
     let mut hosts = table(&[host("n1", "north", FleetHostState::Ready)]);
     hosts.merge(NOW_MS + 9_000, host("n2", "north", FleetHostState::Ready), true);
-    assert_eq!(directory::addresses(&hosts, NOW_MS + 9_000, "north"), ["n2"]);
+    assert_eq!(addresses(&hosts, NOW_MS + 9_000, "north"), ["n2"]);
 }
 
 fn core(name: &str, region: &str) -> FleetHost {
@@ -89,14 +97,14 @@
 #[test]
 fn an_entry_host_lists_the_hosts_that_a_core_reports() {
     let mut hosts = table_of_an_entry();
-    assert_eq!(directory::addresses(&hosts, NOW_MS, "north"), ["n1", "n2"]);
+    assert_eq!(addresses(&hosts, NOW_MS, "north"), ["n1", "n2"]);
     let later_ms = NOW_MS + 4_000;
     for name in ["n1", "c1"] {
         hosts.record_message(later_ms, name);
     }
-    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1"], "n2 is no longer reported");
+    assert_eq!(addresses(&hosts, later_ms, "north"), ["n1"], "n2 is no longer reported");
     hosts.record_report(later_ms, "n2");
-    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
+    assert_eq!(addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
 }
 
 /// An entry host without contact to any core cannot determine which hosts are alive,
@@ -106,7 +114,7 @@
     let mut hosts = table_of_an_entry();
     let later_ms = NOW_MS + 10_000;
     hosts.record_message(later_ms, "n1");
-    assert_eq!(directory::addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
+    assert_eq!(addresses(&hosts, later_ms, "north"), ["n1", "n2"]);
 }
 
 /// Each entry host is informed by one core, so that the lists stay small. That core
@@ -167,3 +175,54 @@
     advance(&mut hosts, 60, &["n1", "c1"], &[]);
     assert_eq!(hosts.entry_count(), 1, "no host reports n2 any more");
 }
+
+/// Hosts of two data centres of one region, `count` each.
+fn two_data_centres(count: usize) -> Vec<FleetHost> {
+    let in_data_centre = |letter: &'static str| {
+        (0..count).map(move |number| FleetHost {
+            data_centre: Name::from(format!("north-{letter}")),
+            ..host(&format!("{letter}{number:03}"), "north", FleetHostState::Ready)
+        })
+    };
+    in_data_centre("a").chain(in_data_centre("b")).collect()
+}
+
+/// The hosts that are listed to the callers of both data centres, by several hosts.
+fn listed_by_all(hosts: &HostTable) -> BTreeSet<String> {
+    let mut listed = BTreeSet::new();
+    for data_centre in ["north-a", "north-b"] {
+        for answering_host in ["a000", "a001", "a002", "b000", "b001", "b002", "b003", "b004"] {
+            let question = Question { region: "north", data_centre, answering_host };
+            let addresses = directory::addresses(hosts, NOW_MS, &question);
+            assert_eq!(addresses.len(), 64);
+            listed.extend(addresses);
+        }
+    }
+    listed
+}
+
+/// Guards against hosts that never receive a caller: a region of 126 hosts, of which
+/// an answer can list 64.
+#[test]
+fn every_host_of_a_large_region_is_listed_to_some_callers() {
+    let hosts = table(&two_data_centres(63));
+    assert_eq!(listed_by_all(&hosts).len(), 126);
+}
+
+/// The same for data centres that are each larger than an answer.
+#[test]
+fn every_host_of_a_large_data_centre_is_listed_to_some_callers() {
+    let hosts = table(&two_data_centres(90));
+    assert_eq!(listed_by_all(&hosts).len(), 180);
+}
+
+/// A caller drops its connections to hosts that a new answer does not list.
+#[test]
+fn a_host_lists_the_same_hosts_to_a_caller_each_time() {
+    let hosts = table(&two_data_centres(63));
+    let question = Question { region: "north", data_centre: "north-b", answering_host: "a001" };
+    let first = directory::addresses(&hosts, NOW_MS, &question);
+    assert_eq!(directory::addresses(&hosts, NOW_MS + 500, &question), first);
+    let own = first.iter().filter(|address| address.starts_with('b')).count();
+    assert_eq!(own, 63, "not all hosts of the caller's data centre are listed");
+}
--- a/crates/anvillift-node/src/core/calls.rs
+++ b/crates/anvillift-node/src/core/calls.rs
@@ -59,7 +59,9 @@
                 self.commit(head, FleetCommand::Evacuate(evacuate)).await
             }
             ControlCall::Read => self.read_configuration(head).await,
-            ControlCall::Resolve { region } => self.node.resolve(&region),
+            ControlCall::Resolve { region, data_centre } => {
+                self.node.resolve(&region, &data_centre)
+            }
             ControlCall::Readiness if self.node.is_leaving() => {
                 self.retry_later_reply(Code::Draining, Code::Draining.title())
             }
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -59,6 +59,8 @@
     Resolve {
         /// Region of the caller, whose entry hosts are preferred.
         region: String,
+        /// Data centre of the caller; empty if it states none.
+        data_centre: String,
     },
     /// Readiness probe of the platform.
     Readiness,
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -145,8 +145,8 @@
         match (self.node.dialect.decode_call)(head, body) {
             Ok(ControlCall::Readiness) if self.is_ready() => Reply::new(200, b"{}".to_vec()),
             Ok(ControlCall::Readiness) => Reply::new(503, b"{}".to_vec()),
-            Ok(ControlCall::Resolve { region }) => {
-                let mut reply = self.node.resolve(&region);
+            Ok(ControlCall::Resolve { region, data_centre }) => {
+                let mut reply = self.node.resolve(&region, &data_centre);
                 reply.closes_connection |= self.node.is_leaving();
                 self.node.record_call("resolve", head, reply.status, began_ms);
                 reply
--- a/crates/anvillift-node/src/node_calls.rs
+++ b/crates/anvillift-node/src/node_calls.rs
@@ -2,6 +2,7 @@
 //! error answers, and the log line and metric of each call.
 
 use anvillift_fleet::directory;
+use anvillift_fleet::directory::Question;
 use anvillift_http::RequestHead;
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
@@ -15,10 +16,12 @@
 const RETRY_AFTER_MS: u64 = 300;
 
 impl Node {
-    /// Answers a directory call with the entry hosts that a caller in `region`
-    /// should use.
-    pub(crate) fn resolve(&self, region: &str) -> Reply {
-        let addresses = directory::addresses(&self.view.borrow().hosts, clock::now_ms(), region);
+    /// Answers a directory call with the entry hosts that a caller in `region` and
+    /// `data_centre` should use.
+    pub(crate) fn resolve(&self, region: &str, data_centre: &str) -> Reply {
+        let own_name = self.own_host().name;
+        let question = Question { region, data_centre, answering_host: &own_name };
+        let addresses = directory::addresses(&self.view.borrow().hosts, clock::now_ms(), &question);
         if addresses.is_empty() {
             return self.retry_later_reply(Code::NotReady, "no entry host is ready");
         }
