Relieve an overloaded region of long prompts

Ruled out: uneven choice within the region (its workers were alike), and the load that each host sees of itself (`RegionLoads` has that of all hosts).

Change: `spill::region_for_prefix`: a prompt whose prefix is cached in the local or in a too busy region leaves a busy region on the terms of other prompts. `admission`: while the backlog of all hosts in a region exceeds half a batch a worker, a share of its long prompts is rejected at once (503, code 1302, a spread time to come back), the less urgent routes first; event 2711 names the backlog.

Tests: `admission` of anvillift-fleet (the overloaded worker in virtual time, with and without the rejection) and three in `spill`.

--- a/crates/anvillift-fleet/src/configuration.rs
+++ b/crates/anvillift-fleet/src/configuration.rs
@@ -48,6 +48,13 @@
 }
 
 impl FleetConfiguration {
+    /// Whether no route to a service is more urgent than one of this priority.
+    pub fn is_most_urgent(&self, service: &str, priority: u8) -> bool {
+        let is_target =
+            |route: &Route| route.targets.iter().any(|target| target.service.as_str() == service);
+        self.routes.iter().all(|route| route.priority >= priority || !is_target(route))
+    }
+
     /// Checks that routes are distinct, refer to existing services, have a target
     /// with a weight above 0 and have a timeout.
     pub fn check(&self) -> Result<(), ConfigurationError> {
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! modules decide where a request goes, whether it is retried and which answer its
 //! caller receives. Time is passed in as `now_ms` of a monotonic clock.
 
+pub mod admission;
 mod answer_timeouts;
 pub mod choose;
 mod cold_share;
--- a/crates/anvillift-fleet/src/region_loads.rs
+++ b/crates/anvillift-fleet/src/region_loads.rs
@@ -67,10 +67,21 @@
         workers: usize,
         slots: u64,
     ) -> Option<f64> {
+        let in_flight = self.in_flight(now_ms, region, service)?;
+        Some(choose::load(&in_flight, slots) / workers.max(1) as f64)
+    }
+
+    /// Prompt tokens that the workers of a region have not processed yet, in batches
+    /// per worker. `None` without a recent report of the region.
+    pub fn backlog(&self, now_ms: u64, region: &str, service: &str, workers: usize) -> Option<f64> {
+        let in_flight = self.in_flight(now_ms, region, service)?;
+        Some(choose::backlog(&in_flight) / workers.max(1) as f64)
+    }
+
+    fn in_flight(&self, now_ms: u64, region: &str, service: &str) -> Option<InFlight> {
         let load = self.recent(now_ms).find(|load| load.region.as_str() == region)?;
         let reported = load.services.iter().find(|other| other.service.as_str() == service);
-        let in_flight = reported.map(in_flight).unwrap_or_default();
-        Some(choose::load(&in_flight, slots) / workers.max(1) as f64)
+        Some(reported.map(in_flight).unwrap_or_default())
     }
 
     fn recent(&self, now_ms: u64) -> impl Iterator<Item = &FleetLoad> {
--- a/crates/anvillift-fleet/src/spill.rs
+++ b/crates/anvillift-fleet/src/spill.rs
@@ -8,6 +8,12 @@
 //! Requests without a prompt are small, and a worker without a batch queues the
 //! requests that exceed its slots, so they are sent to another region at a lower
 //! load than prompts.
+//!
+//! A prompt whose prefix is cached in another region is sent there, unless that
+//! region is too busy. It is then, like one whose prefix is cached in the local
+//! region, sent to a third region on the same terms as other prompts: computing the
+//! prefix again takes less time than waiting where callers leave before their answer
+//! begins.
 
 use anvillift_schema::name::Name;
 
@@ -38,6 +44,41 @@
     pub load: f64,
 }
 
+/// The region whose worker probably has the prefix of a prompt cached.
+#[derive(Clone, Debug)]
+pub struct CachingRegion {
+    /// Name of the region.
+    pub name: Name,
+    /// Load of its workers, in batches; `None` if it is not known.
+    pub load: Option<f64>,
+}
+
+/// Why a request is sent to another region.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SpillReason {
+    /// The other region has the prefix of the prompt cached.
+    CachedPrefix,
+    /// The local region is busy, and the other is less so.
+    Load,
+}
+
+/// The region that takes a prompt with a long shared prefix instead of the local
+/// one, if any. `caching_region` is `None` if the local region has the prefix cached.
+pub fn region_for_prefix<'a>(
+    caching_region: Option<&'a CachingRegion>,
+    own_load: Option<f64>,
+    others: &'a [RegionLoad],
+    draw: f64,
+) -> Option<(&'a Name, SpillReason)> {
+    if let Some(region) = caching_region
+        && !own_load.zip(region.load).is_some_and(|(own, other)| is_too_busy(own, other))
+    {
+        return Some((&region.name, SpillReason::CachedPrefix));
+    }
+    let region = region_to_spill_to(&PROMPT_THRESHOLDS, own_load?, others, draw)?;
+    Some((region, SpillReason::Load))
+}
+
 /// The region that takes a request instead of the local one, if any. `draw` lies between 0 and 1.
 pub fn region_to_spill_to<'a>(
     thresholds: &Thresholds,
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the tables and decisions of a fleet.
 
+mod admission;
 mod answer_timeouts;
 mod choose;
 mod cold;
--- a/crates/anvillift-fleet/tests/testsuite/spill.rs
+++ b/crates/anvillift-fleet/tests/testsuite/spill.rs
@@ -1,6 +1,6 @@
 //! Tests of sending requests to other regions, and of the loads that it depends on.
 
-use anvillift_fleet::spill::{RegionLoad, Thresholds};
+use anvillift_fleet::spill::{RegionLoad, SpillReason, Thresholds};
 use anvillift_fleet::{RegionLoads, spill};
 use anvillift_schema::fleet::{FleetLoad, FleetServiceLoad};
 use anvillift_schema::name::Name;
@@ -85,3 +85,49 @@
     assert_eq!(at_entry.load(1_200, "west", "plans", 2, 8), None);
     assert_eq!(at_entry.load(9_000, "north", "plans", 2, 8), None);
 }
+
+fn caching(load: f64) -> spill::CachingRegion {
+    spill::CachingRegion { name: Name::from("keeper"), load: Some(load) }
+}
+
+/// Reasons for which the prompts of a region with a cached prefix leave it.
+fn reasons(
+    caching_region: Option<&spill::CachingRegion>,
+    own_load: f64,
+    others: &[RegionLoad],
+) -> Vec<Option<SpillReason>> {
+    let reason = |draw: f64| {
+        let chosen = spill::region_for_prefix(caching_region, Some(own_load), others, draw);
+        chosen.map(|(_, reason)| reason)
+    };
+    [0.0, 0.25, 0.99].map(reason).to_vec()
+}
+
+/// Callers move to one region and its links to another are cut. Nearly all of its
+/// prompts have a prefix that its own workers have cached: they must not all wait
+/// there while a region that it reaches has free workers (seen on
+/// hanbit-permits-grown `scale-1`, where 22 workers lost nearly every prompt and 30
+/// others answered them in a quarter of a second).
+#[test]
+fn prompts_with_a_cached_prefix_leave_an_overloaded_region() {
+    let others = regions(&[("idle", 0.2)]);
+    let load = Some(SpillReason::Load);
+    assert_eq!(reasons(None, 2.0, &others), [load, load, None]);
+    assert_eq!(reasons(Some(&caching(3.0)), 2.0, &others), [load, load, None]);
+}
+
+#[test]
+fn prompts_stay_where_their_prefix_is_cached_while_that_region_is_not_overloaded() {
+    let others = regions(&[("idle", 0.2)]);
+    assert_eq!(reasons(None, 0.6, &others), [None; 3]);
+    assert_eq!(reasons(Some(&caching(0.6)), 0.5, &others), [Some(SpillReason::CachedPrefix); 3]);
+}
+
+/// Without reports of the loads a cached prefix decides alone.
+#[test]
+fn a_cached_prefix_decides_while_no_loads_are_known() {
+    let unknown = spill::CachingRegion { load: None, ..caching(0.0) };
+    let chosen = spill::region_for_prefix(Some(&unknown), None, &[], 0.5);
+    assert_eq!(chosen.map(|(_, reason)| reason), Some(SpillReason::CachedPrefix));
+    assert_eq!(spill::region_for_prefix(None, None, &[], 0.5), None);
+}
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -64,8 +64,13 @@
                 } else {
                     FinalOutcome::Refused
                 };
-                return self.reply_failure(caller, request, &attempts, end, keep_alive).await;
+                let failure = RequestFailure::of(end);
+                return self.reply_failure(caller, request, &attempts, failure, keep_alive).await;
             };
+            if attempts.attempt_count == 0 && !target.is_host && self.is_overloaded(request) {
+                let failure = RequestFailure::OVERLOADED;
+                return self.reply_failure(caller, request, &attempts, failure, keep_alive).await;
+            }
             let mut started = self.start_attempt(request, &mut attempts, target);
             let response_timeout_ms = self.response_timeout_ms(request, &attempts);
             let can_switch = || self.can_try_another(request, &attempts);
@@ -92,9 +97,9 @@
                 AttemptOutcome::NoResponse(end, reason) => {
                     let end =
                         self.finish_without_response(request, &mut attempts, started, end, &reason);
-                    if let Some(end) = end {
+                    if let Some(failure) = end.map(RequestFailure::of) {
                         return self
-                            .reply_failure(caller, request, &attempts, end, keep_alive)
+                            .reply_failure(caller, request, &attempts, failure, keep_alive)
                             .await;
                     }
                 }
@@ -235,10 +240,9 @@
         caller: &Connection,
         request: &Request,
         attempts: &Attempts,
-        end: FinalOutcome,
+        failure: RequestFailure,
         keep_alive: bool,
     ) -> ConnectionAction {
-        let failure = RequestFailure::of(end);
         log::info!(
             event = Event::RequestAbandoned.number(), id = request.id.as_str(),
             route = request.route.name.as_str(), service = request.service.as_str(),
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -9,8 +9,9 @@
 use std::net::SocketAddr;
 
 use anvillift_fleet::choose::{Candidate, Degradation};
-use anvillift_fleet::spill::RegionLoad;
-use anvillift_fleet::{LimitSharers, WorkerEntry, choose, spill, start_wait, subset};
+use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
+use anvillift_fleet::{LimitSharers, WorkerEntry, admission, choose, spill, start_wait, subset};
+use anvillift_schema::event::Event;
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -160,53 +161,103 @@
     /// An entry host of another region that is preferred to the workers of this
     /// region, because of a cached prefix or a lower load there.
     fn better_remote_target(&self, view: &FleetView, request: &Request) -> Option<Target> {
+        let own_load = self.region_load(view, request, &self.node.settings.region);
+        let others = self.other_region_loads(view, request);
+        let draw = self.dispatch.borrow_mut().rng.random();
+        let (region, reason) = if let Some(affinity_key) = request.affinity_key {
+            let caching_region = self.caching_region(view, request, affinity_key);
+            let region =
+                spill::region_for_prefix(caching_region.as_ref(), own_load, &others, draw)?;
+            (region.0.clone(), region.1)
+        } else {
+            let has_prompt = request.prompt.input_tokens > 0;
+            let thresholds =
+                if has_prompt { spill::PROMPT_THRESHOLDS } else { spill::CALL_THRESHOLDS };
+            let region = spill::region_to_spill_to(&thresholds, own_load?, &others, draw)?;
+            (region.clone(), SpillReason::Load)
+        };
+        let reason = match reason {
+            SpillReason::CachedPrefix => "keeper",
+            SpillReason::Load => "spill",
+        };
+        self.remote_target(view, request, &BTreeSet::new(), Some(&region), reason)
+    }
+
+    /// Loads of the other regions that may serve a request, as far as they are known.
+    fn other_region_loads(&self, view: &FleetView, request: &Request) -> Vec<RegionLoad> {
         let own = &self.node.settings.region;
-        let own_load = self.region_load(view, request, own);
-        if let Some(affinity_key) = request.affinity_key {
-            return self.affinity_target(view, request, affinity_key, own_load);
-        }
         let regions: BTreeSet<&Name> = self.node.settings.regions.values().collect();
         let others = regions.into_iter().filter(|region| *region != own);
         let others = others.filter(|region| request.route.allows_region(region));
-        let others: Vec<RegionLoad> = others
-            .filter_map(|region| {
-                let load = self.region_load(view, request, region)?;
-                Some(RegionLoad { name: region.clone(), load })
-            })
-            .collect();
-        let draw = self.dispatch.borrow_mut().rng.random();
-        let has_prompt = request.prompt.input_tokens > 0;
-        let thresholds = if has_prompt { spill::PROMPT_THRESHOLDS } else { spill::CALL_THRESHOLDS };
-        let region = spill::region_to_spill_to(&thresholds, own_load?, &others, draw)?;
-        self.remote_target(view, request, &BTreeSet::new(), Some(region), "spill")
+        let load_of = |region: &Name| {
+            let load = self.region_load(view, request, region)?;
+            Some(RegionLoad { name: region.clone(), load })
+        };
+        others.filter_map(load_of).collect()
     }
 
     /// Load of a region's workers for the service of the request, in batches of as
     /// many requests per worker as it has slots. `None` without a ready worker or a
     /// recent report of the region.
     fn region_load(&self, view: &FleetView, request: &Request, region: &Name) -> Option<f64> {
-        let settings = &self.node.settings;
+        let workers = self.ready_workers(view, request, region);
+        let slots = workers.first()?.report.slots;
+        view.loads.load(clock::now_ms(), region, &request.service, workers.len(), slots)
+    }
+
+    /// Whether a prompt of a caller is rejected because this region has a large backlog
+    /// of prompts.
+    pub(crate) fn is_overloaded(&self, request: &Request) -> bool {
+        if request.origin != Origin::Caller || !admission::may_reject(&request.prompt) {
+            return false;
+        }
+        let view = self.node.view.borrow();
+        let own = &self.node.settings.region;
+        let workers = self.ready_workers(&view, request, own).len();
+        let now_ms = clock::now_ms();
+        let Some(backlog) = view.loads.backlog(now_ms, own, &request.service, workers) else {
+            return false;
+        };
+        let is_most_urgent = view.configuration.as_ref().is_some_and(|configuration| {
+            configuration.is_most_urgent(&request.service, request.route.priority)
+        });
+        let draw = self.dispatch.borrow_mut().rng.random();
+        let is_rejected = admission::rejects(backlog, is_most_urgent, draw);
+        if is_rejected {
+            log::info!(
+                event = Event::PromptRejected.number(), id = request.id.as_str(),
+                service = request.service.as_str(), backlog = format!("{backlog:.2}"),
+                workers = workers, is_most_urgent = is_most_urgent;
+                "prompt rejected: the backlog per worker is too large"
+            );
+        }
+        is_rejected
+    }
+
+    /// The ready workers of a region for the service of a request, without those of
+    /// data centres under evacuation.
+    fn ready_workers<'a>(
+        &self,
+        view: &'a FleetView,
+        request: &'a Request,
+        region: &Name,
+    ) -> Vec<&'a WorkerEntry> {
         let in_region = |entry: &&WorkerEntry| {
             let data_centre = &entry.report.data_centre;
-            settings.region_of(data_centre) == Some(region)
+            self.node.settings.region_of(data_centre) == Some(region)
                 && !view.control.evacuated.contains(data_centre)
         };
-        let workers: Vec<_> = view.workers.ready(&request.service).filter(in_region).collect();
-        let slots = workers.first()?.report.slots;
-        view.loads.load(clock::now_ms(), region, &request.service, workers.len(), slots)
+        view.workers.ready(&request.service).filter(in_region).collect()
     }
 
-    /// An entry host of the region whose worker most likely caches the long shared
-    /// prefix of a prompt, since computing the prefix again takes longer than
-    /// forwarding the request there. `None` if that is this host's region or if the
-    /// region is too busy.
-    fn affinity_target(
+    /// The region whose worker most likely caches the long shared prefix of a prompt,
+    /// or `None` if that is this host's region or can't be reached.
+    fn caching_region(
         &self,
         view: &FleetView,
         request: &Request,
         affinity_key: u64,
-        own_load: Option<f64>,
-    ) -> Option<Target> {
+    ) -> Option<CachingRegion> {
         let settings = &self.node.settings;
         let region_of = |entry: &WorkerEntry| settings.region_of(&entry.report.data_centre);
         let workers = view.workers.ready(&request.service).filter(|entry| {
@@ -215,16 +266,11 @@
         });
         let worker = choose::affinity_worker(workers.map(|entry| &entry.report.id), affinity_key)?;
         let region = region_of(view.workers.get(worker)?)?;
-        if *region == settings.region {
+        if *region == settings.region || !view.hosts.is_region_reachable(clock::now_ms(), region) {
             return None;
         }
         let load = self.region_load(view, request, region);
-        if let (Some(own_load), Some(load)) = (own_load, load)
-            && spill::is_too_busy(own_load, load)
-        {
-            return None;
-        }
-        self.remote_target(view, request, &BTreeSet::new(), Some(region), "keeper")
+        Some(CachingRegion { name: region.clone(), load })
     }
 
     /// A random healthy entry host of another region with workers of the service;
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -72,6 +72,7 @@
     AnswerEnded = 2708, "info", "The relay of an answer ended";
     RequestUnreadable = 2709, "info", "A request could not be read";
     RequestWaitedForState = 2710, "info", "A request waited for state that its host had not received yet";
+    PromptRejected = 2711, "info", "A prompt was rejected because of the backlog of its region";
 }
 
 impl Event {
