Reject long prompts by the expected wait, and keep the key of one part

Cause: the limit of the backlog was a number of tokens, which assumes the speed of the workers at hand. And the new keys of prefixes moved every document of the earlier deployments to another worker.

Change: `PromptSpeed` measures how fast the workers process prompts, from answers and from a usual speed until there are some; `admission` compares the expected wait with the target latency of the route. The key of a prefix of one part is its id again, so hosts of both versions agree during an upgrade.

--- a/crates/anvillift-fleet/src/admission.rs
+++ b/crates/anvillift-fleet/src/admission.rs
@@ -11,17 +11,17 @@
 
 use crate::prompt::Prompt;
 
-/// Backlog per worker above which prompts of less urgent routes are rejected, in
-/// batches of prompt tokens.
-const MAX_BACKLOG: f64 = 0.5;
+/// Expected wait from which prompts of less urgent routes are rejected, as a multiple
+/// of the target latency.
+const MAX_WAIT: f64 = 1.0;
 /// The same for the most urgent routes of a service.
-const MAX_URGENT_BACKLOG: f64 = 0.8;
-/// Backlog above the limit at which the largest share is rejected, in batches.
-const FULL_REJECTION_EXCESS: f64 = 0.5;
+const MAX_URGENT_WAIT: f64 = 1.5;
+/// Wait above the limit at which the largest share is rejected, as a multiple of the
+/// target latency.
+const FULL_REJECTION_EXCESS: f64 = 0.75;
 /// Largest share that is rejected. The rest keeps the workers busy if the reported
 /// backlog is outdated.
 const MAX_REJECTED_SHARE: f64 = 0.9;
-
 /// Shortest prompt that may be rejected, in tokens.
 const MIN_REJECTED_TOKENS: u64 = 3_000;
 
@@ -30,10 +30,22 @@
     prompt.input_tokens >= MIN_REJECTED_TOKENS
 }
 
-/// Whether a long prompt is rejected. `backlog` is that of the region per worker, in
-/// batches of prompt tokens; `draw` lies between 0 and 1.
-pub fn rejects(backlog: f64, is_most_urgent: bool, draw: f64) -> bool {
-    let limit = if is_most_urgent { MAX_URGENT_BACKLOG } else { MAX_BACKLOG };
-    let share = (backlog - limit) / FULL_REJECTION_EXCESS;
+/// The wait of a prompt until its answer begins, as expected when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedWait {
+    /// Time until the workers have processed the backlog and the prompt, in
+    /// milliseconds.
+    pub wait_ms: f64,
+    /// Target latency of the route, in milliseconds.
+    pub target_ms: u64,
+    /// Whether no route to the service is more urgent.
+    pub is_most_urgent: bool,
+}
+
+/// Whether a long prompt is rejected; `draw` lies between 0 and 1.
+pub fn rejects(expected: &ExpectedWait, draw: f64) -> bool {
+    let limit = if expected.is_most_urgent { MAX_URGENT_WAIT } else { MAX_WAIT };
+    let wait = expected.wait_ms / expected.target_ms.max(1) as f64;
+    let share = (wait - limit) / FULL_REJECTION_EXCESS;
     draw < share.min(MAX_REJECTED_SHARE)
 }
--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -113,12 +113,8 @@
 
 /// Load of requests in flight, in batches of `slots` requests.
 pub fn load(in_flight: &InFlight, slots: u64) -> f64 {
-    in_flight.requests as f64 / slots.max(1) as f64 + backlog(in_flight)
-}
-
-/// Prompt tokens that are not processed yet, in batches.
-pub fn backlog(in_flight: &InFlight) -> f64 {
-    in_flight.unprocessed_tokens as f64 / TOKENS_PER_BATCH
+    in_flight.requests as f64 / slots.max(1) as f64
+        + in_flight.unprocessed_tokens as f64 / TOKENS_PER_BATCH
 }
 
 /// Sorts the candidates, the best first. `affinity_key` is that of the prompt, if its
--- a/crates/anvillift-fleet/src/prompt.rs
+++ b/crates/anvillift-fleet/src/prompt.rs
@@ -24,11 +24,12 @@
 
     /// Keys of the prefixes of the prompt, the shortest first. Each key covers the
     /// parts up to its own, since a cached part is of use only if all parts before
-    /// it are cached too.
+    /// it are cached too. The key of a single part is its id.
     pub fn prefix_keys(&self) -> impl Iterator<Item = u64> + '_ {
-        self.shared_parts.iter().scan(0, |key, part| {
-            *key = rendezvous::mix(rendezvous::mix(*key) ^ part.id);
-            Some(*key)
+        self.shared_parts.iter().scan(None, |previous, part| {
+            let key = previous.map_or(part.id, |key| rendezvous::mix(key) ^ part.id);
+            *previous = Some(key);
+            Some(key)
         })
     }
 }
--- a/crates/anvillift-fleet/src/region_loads.rs
+++ b/crates/anvillift-fleet/src/region_loads.rs
@@ -71,11 +71,17 @@
         Some(choose::load(&in_flight, slots) / workers.max(1) as f64)
     }
 
-    /// Prompt tokens that the workers of a region have not processed yet, in batches
-    /// per worker. `None` without a recent report of the region.
-    pub fn backlog(&self, now_ms: u64, region: &str, service: &str, workers: usize) -> Option<f64> {
+    /// Prompt tokens per worker that the workers of a region have not processed yet.
+    /// `None` without a recent report of the region.
+    pub fn backlog_tokens(
+        &self,
+        now_ms: u64,
+        region: &str,
+        service: &str,
+        workers: usize,
+    ) -> Option<f64> {
         let in_flight = self.in_flight(now_ms, region, service)?;
-        Some(choose::backlog(&in_flight) / workers.max(1) as f64)
+        Some(in_flight.unprocessed_tokens as f64 / workers.max(1) as f64)
     }
 
     fn in_flight(&self, now_ms: u64, region: &str, service: &str) -> Option<InFlight> {
--- a/crates/anvillift-fleet/tests/testsuite/admission.rs
+++ b/crates/anvillift-fleet/tests/testsuite/admission.rs
@@ -7,7 +7,8 @@
 
 use std::collections::VecDeque;
 
-use anvillift_fleet::{InFlight, Prompt, RegionLoads, admission, choose};
+use anvillift_fleet::admission::ExpectedWait;
+use anvillift_fleet::{Prompt, PromptSpeed, RegionLoads, admission};
 use anvillift_schema::fleet::{FleetLoad, FleetLoads, FleetServiceLoad};
 use anvillift_schema::name::Name;
 use rand::rngs::SmallRng;
@@ -37,21 +38,22 @@
 }
 
 /// Runs one worker, whose prompts arrive at a multiple of the rate that it can
-/// process, and which processes the prompts of its batch side by side.
-fn run(load: f64, seconds: u64, rejects: impl Fn(f64, f64) -> bool) -> Outcome {
+/// process, and which processes the prompts of its batch side by side. `rejects` is
+/// passed the reported backlog in tokens, the measured speed and a random number.
+fn run(load: f64, seconds: u64, rejects: impl Fn(f64, &PromptSpeed, f64) -> bool) -> Outcome {
     let mut rng = SmallRng::seed_from_u64(5);
     let mut outcome = Outcome::default();
+    let mut speed = PromptSpeed::default();
     let mut prompts: VecDeque<WaitingPrompt> = VecDeque::new();
     let mut reported: VecDeque<f64> = VecDeque::new();
     let arrivals_per_step = load * TOKENS_PER_MS * STEP_MS as f64 / PROMPT_TOKENS;
     for now_ms in (0..seconds * 1_000).step_by(STEP_MS as usize) {
         let unprocessed: f64 = prompts.iter().map(|prompt| prompt.unprocessed_tokens).sum();
-        let in_flight = InFlight { requests: 0, unprocessed_tokens: unprocessed as u64 };
-        reported.push_back(choose::backlog(&in_flight));
+        reported.push_back(unprocessed);
         let is_aged = reported.len() as u64 > REPORT_AGE_MS / STEP_MS;
         let backlog = if is_aged { reported.pop_front().unwrap_or(0.0) } else { 0.0 };
         if rng.random::<f64>() < arrivals_per_step {
-            if rejects(backlog, rng.random()) {
+            if rejects(backlog, &speed, rng.random()) {
                 outcome.rejected += 1;
             } else {
                 let unprocessed_tokens = PROMPT_TOKENS;
@@ -65,6 +67,9 @@
             let age_ms = now_ms - prompt.arrived_ms;
             let is_answered = prompt.unprocessed_tokens <= 0.0;
             outcome.answered += u64::from(is_answered);
+            if is_answered {
+                speed.record(backlog + PROMPT_TOKENS, age_ms);
+            }
             outcome.in_time += u64::from(is_answered && age_ms <= 2_000);
             let has_left = !is_answered && age_ms > PATIENCE_MS;
             outcome.left += u64::from(has_left);
@@ -79,9 +84,19 @@
     seconds as f64 * 1_000.0 * TOKENS_PER_MS / PROMPT_TOKENS
 }
 
+/// Rejects as a host does for a route with a target latency of 800 ms.
+fn rejects(backlog: f64, speed: &PromptSpeed, draw: f64) -> bool {
+    let wait_ms = speed.duration_ms(backlog + PROMPT_TOKENS);
+    admission::rejects(&expected(wait_ms, false), draw)
+}
+
+fn expected(wait_ms: f64, is_most_urgent: bool) -> ExpectedWait {
+    ExpectedWait { wait_ms, target_ms: 800, is_most_urgent }
+}
+
 #[test]
 fn an_overloaded_region_keeps_answering_prompts() {
-    let outcome = run(1.8, 30, |backlog, draw| admission::rejects(backlog, false, draw));
+    let outcome = run(1.8, 30, rejects);
     assert!(outcome.answered as f64 > 0.8 * capacity(30), "{outcome:?}");
     assert!(outcome.in_time as f64 > 0.7 * capacity(30), "{outcome:?}");
     assert!(outcome.left < outcome.answered / 10, "{outcome:?}");
@@ -90,28 +105,29 @@
 /// Shows what the rejection prevents.
 #[test]
 fn without_rejections_an_overloaded_region_answers_few_prompts() {
-    let outcome = run(1.8, 30, |_, _| false);
+    let outcome = run(1.8, 30, |_, _, _| false);
     assert!((outcome.answered as f64) < 0.5 * capacity(30), "{outcome:?}");
 }
 
 #[test]
 fn a_region_below_its_capacity_rejects_nothing() {
-    let outcome = run(0.7, 30, |backlog, draw| admission::rejects(backlog, false, draw));
+    let outcome = run(0.7, 30, rejects);
     assert_eq!((outcome.rejected, outcome.left), (0, 0), "{outcome:?}");
 }
 
-/// At no backlog are all prompts rejected, so that an outdated report does not leave
-/// the workers without work.
+/// At no wait are all prompts rejected, so that an outdated report does not leave the
+/// workers without work.
 #[test]
-fn the_rejected_share_grows_with_the_backlog_and_stays_below_all() {
-    let share = |backlog: f64, is_most_urgent: bool| {
+fn the_rejected_share_grows_with_the_wait_and_stays_below_all() {
+    let share = |wait_ms: f64, is_most_urgent: bool| {
         let draws = (0..1_000).map(|draw| f64::from(draw) / 1_000.0);
-        draws.filter(|draw| admission::rejects(backlog, is_most_urgent, *draw)).count()
+        let expected = expected(wait_ms, is_most_urgent);
+        draws.filter(|draw| admission::rejects(&expected, *draw)).count()
     };
-    assert_eq!(share(0.5, false), 0);
-    assert!(share(0.6, false) < share(0.7, false));
-    assert_eq!(share(40.0, false), 900);
-    assert_eq!(share(40.0, true), 900);
+    assert_eq!(share(800.0, false), 0);
+    assert!(share(900.0, false) < share(1_000.0, false));
+    assert_eq!(share(40_000.0, false), 900);
+    assert_eq!(share(40_000.0, true), 900);
 }
 
 /// Short questions are answered in between and don't wait for the long prompts.
@@ -125,10 +141,45 @@
 
 /// Less urgent prompts make room for urgent ones.
 #[test]
-fn urgent_prompts_are_rejected_at_a_larger_backlog() {
-    assert!(admission::rejects(0.7, false, 0.0));
-    assert!(!admission::rejects(0.7, true, 0.0));
-    assert!(admission::rejects(0.9, true, 0.0));
+fn urgent_prompts_are_rejected_at_a_longer_wait() {
+    assert!(admission::rejects(&expected(1_000.0, false), 0.0));
+    assert!(!admission::rejects(&expected(1_000.0, true), 0.0));
+    assert!(admission::rejects(&expected(1_400.0, true), 0.0));
+}
+
+/// Guards against limits that hold for one kind of worker only: the same backlog is
+/// nothing to a fast one.
+#[test]
+fn the_wait_follows_the_measured_speed_of_the_workers() {
+    let measured = |tokens_per_ms: f64| {
+        let mut speed = PromptSpeed::default();
+        for _ in 0..400 {
+            speed.record(10_000.0, (10_000.0 / tokens_per_ms) as u64);
+        }
+        speed.duration_ms(50_000.0).round()
+    };
+    assert_eq!([measured(50.0), measured(100.0), measured(10.0)], [1_000.0, 500.0, 5_000.0]);
+}
+
+/// A host that has just started judges by a usual speed, and a few answers that came
+/// fast or late by chance change it little.
+#[test]
+fn a_few_answers_change_the_assumed_speed_little() {
+    let assumed_ms = PromptSpeed::default().duration_ms(50_000.0);
+    assert_eq!(assumed_ms, 1_000.0);
+    let mut speed = PromptSpeed::default();
+    (0..2).for_each(|_| speed.record(10_000.0, 400));
+    assert!((1_000.0..1_400.0).contains(&speed.duration_ms(50_000.0)));
+}
+
+/// Workers that become slower show it within some answers.
+#[test]
+fn the_speed_follows_a_change() {
+    let mut speed = PromptSpeed::default();
+    (0..200).for_each(|_| speed.record(10_000.0, 200));
+    (0..100).for_each(|_| speed.record(10_000.0, 800));
+    let wait_ms = speed.duration_ms(10_000.0);
+    assert!(wait_ms > 700.0, "{wait_ms}");
 }
 
 /// The backlog comes from the reports of all hosts and is not used once they are old.
@@ -139,8 +190,8 @@
     let load = FleetLoad { region: Name::from("north"), services: vec![service] };
     let mut loads = RegionLoads::default();
     loads.record_regions(1_000, FleetLoads { regions: vec![load] });
-    assert_eq!(loads.backlog(1_200, "north", "model", 10), Some(1.0));
-    assert_eq!(loads.backlog(1_200, "north", "other", 10), Some(0.0));
-    assert_eq!(loads.backlog(1_200, "south", "model", 10), None);
-    assert_eq!(loads.backlog(3_000, "north", "model", 10), None);
+    assert_eq!(loads.backlog_tokens(1_200, "north", "model", 10), Some(60_000.0));
+    assert_eq!(loads.backlog_tokens(1_200, "north", "other", 10), Some(0.0));
+    assert_eq!(loads.backlog_tokens(1_200, "south", "model", 10), None);
+    assert_eq!(loads.backlog_tokens(3_000, "north", "model", 10), None);
 }
--- a/crates/anvillift-fleet/tests/testsuite/prefixes.rs
+++ b/crates/anvillift-fleet/tests/testsuite/prefixes.rs
@@ -145,6 +145,13 @@
     assert_eq!(PrefixCounts::default().deciding_key(&prompt(&[]), 9), None);
 }
 
+/// Hosts of the version before, which knew the first part only, and those of this one
+/// send a document without instructions to the same worker.
+#[test]
+fn the_key_of_one_part_is_its_id() {
+    assert_eq!(prompt(&[7]).prefix_keys().collect::<Vec<u64>>(), [7]);
+}
+
 /// A cached part is of use only after the same parts, so their order and number count.
 #[test]
 fn each_chain_of_parts_has_its_own_key() {
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -6,7 +6,7 @@
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
     AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, PrefixCounts, Prompt,
-    RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
+    PromptSpeed, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -23,6 +23,8 @@
     pub(crate) rng: SmallRng,
     /// Prefixes of the prompts of this host's callers, by service.
     pub(crate) prefix_counts: BTreeMap<Name, PrefixCounts>,
+    /// Speed at which the workers of this region process prompts, by service.
+    pub(crate) prompt_speeds: BTreeMap<Name, PromptSpeed>,
     in_flight_table: InFlightTable,
     /// Timeouts for the response head, from the recent latencies of each route.
     pub(crate) answer_timeouts: AnswerTimeouts,
@@ -38,6 +40,7 @@
             retries: RetryShare::new(retries),
             rng: SmallRng::seed_from_u64(seed),
             prefix_counts: BTreeMap::new(),
+            prompt_speeds: BTreeMap::new(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
@@ -135,6 +138,7 @@
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
             self.retries.retain(|name| configuration.services.contains_key(name));
             self.prefix_counts.retain(|name, _| configuration.services.contains_key(name));
+            self.prompt_speeds.retain(|name, _| configuration.services.contains_key(name));
         }
     }
 
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -126,6 +126,9 @@
     pub(crate) fn record_response(&self, request: &Request, started: &mut StartedAttempt) {
         let now_ms = clock::now_ms();
         let (route, first_ms) = (&request.route.name, now_ms - started.began_ms);
+        if !started.target.is_host {
+            self.record_prompt_speed(request, first_ms);
+        }
         self.dispatch.borrow_mut().response_started(
             now_ms,
             &mut started.in_flight,
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use anvillift_fleet::admission::ExpectedWait;
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
 use anvillift_fleet::{LimitSharers, WorkerEntry, admission, choose, spill, start_wait, subset};
@@ -212,28 +213,50 @@
             return false;
         }
         let view = self.node.view.borrow();
-        let own = &self.node.settings.region;
-        let workers = self.ready_workers(&view, request, own).len();
-        let now_ms = clock::now_ms();
-        let Some(backlog) = view.loads.backlog(now_ms, own, &request.service, workers) else {
-            return false;
-        };
+        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return false };
+        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
+        let mut dispatch = self.dispatch.borrow_mut();
+        let speed = dispatch.prompt_speeds.get(&request.service).copied().unwrap_or_default();
+        let wait_ms = speed.duration_ms(tokens);
         let is_most_urgent = view.configuration.as_ref().is_some_and(|configuration| {
             configuration.is_most_urgent(&request.service, request.route.priority)
         });
-        let draw = self.dispatch.borrow_mut().rng.random();
-        let is_rejected = admission::rejects(backlog, is_most_urgent, draw);
+        let target_ms = request.route.target_latency_ms;
+        let expected = ExpectedWait { wait_ms, target_ms, is_most_urgent };
+        let is_rejected = admission::rejects(&expected, dispatch.rng.random());
         if is_rejected {
             log::info!(
                 event = Event::PromptRejected.number(), id = request.id.as_str(),
-                service = request.service.as_str(), backlog = format!("{backlog:.2}"),
-                workers = workers, is_most_urgent = is_most_urgent;
-                "prompt rejected: the backlog per worker is too large"
+                service = request.service.as_str(), backlog_tokens = backlog_tokens as u64,
+                expected_ms = wait_ms as u64, target_ms = target_ms,
+                is_most_urgent = is_most_urgent;
+                "prompt rejected: the backlog of this region is too large"
             );
         }
         is_rejected
     }
 
+    /// Records that a worker of this region has begun to answer a long prompt.
+    pub(crate) fn record_prompt_speed(&self, request: &Request, first_ms: u64) {
+        if !admission::may_reject(&request.prompt) {
+            return;
+        }
+        let view = self.node.view.borrow();
+        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return };
+        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
+        let mut dispatch = self.dispatch.borrow_mut();
+        let speed = dispatch.prompt_speeds.entry(request.service.clone()).or_default();
+        speed.record(tokens, first_ms);
+    }
+
+    /// Prompt tokens per worker of this region that are not processed yet, of the
+    /// requests of all hosts.
+    fn backlog_tokens(&self, view: &FleetView, request: &Request) -> Option<f64> {
+        let own = &self.node.settings.region;
+        let workers = self.ready_workers(view, request, own).len();
+        view.loads.backlog_tokens(clock::now_ms(), own, &request.service, workers)
+    }
+
     /// The ready workers of a region for the service of a request, without those of
     /// data centres under evacuation.
     fn ready_workers<'a>(
