Give up an unresponsive peer at the reading end first

During a cut of 2.7 s between entry hosts the answering host closed its connection after 2 s without an acknowledgement, which drops the bytes on their way; the reading host gave up only after 4 s of silence and read what came behind the gap once the cut was over.

Change: connections that a host opened, from which it reads answers, close after 2 s without any sign of the peer (first probe after 1 s); accepted ones after 3 s.

--- a/crates/anvillift-node/src/listen.rs
+++ b/crates/anvillift-node/src/listen.rs
@@ -1,4 +1,9 @@
 //! Listening sockets, new connections and their TCP options.
+//!
+//! The host that opens a connection reads answers from it, and gives up an
+//! unresponsive peer sooner than the host that accepted it. If the accepting host
+//! gave up first during a cut, the bytes on their way would be dropped, and the rest
+//! of an answer could arrive behind the gap once the cut is over.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,10 +18,15 @@
 
 /// Most connections that the kernel queues before they are accepted.
 const BACKLOG: u32 = 1_024;
-/// Time after which a connection with unacknowledged data is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Time after which a connection that this host opened is closed if its peer
+/// acknowledges neither data nor keep-alive probes.
+const OPENED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// The same for a connection that this host accepted.
+const ACCEPTED_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Time without traffic after which keep-alive probes are sent.
-const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Keep-alive probes that may remain without an answer.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Pause after a failed accept, e.g. when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -36,7 +46,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                set_socket_options(&stream);
+                set_socket_options(&stream, ACCEPTED_TIMEOUT);
                 return stream;
             }
             Err(error) => {
@@ -53,20 +63,22 @@
 pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
     let connected = time::timeout(timeout, TcpStream::connect(address)).await;
     let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_socket_options(&stream);
+    set_socket_options(&stream, OPENED_TIMEOUT);
     Ok(stream)
 }
 
 /// Sets the options by which the kernel closes a connection to an unresponsive
 /// peer. Without them the connection works, but ends later.
-fn set_socket_options(stream: &TcpStream) {
+fn set_socket_options(stream: &TcpStream, timeout: Duration) {
     let socket = SockRef::from(stream);
-    let probes =
-        TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(Duration::from_secs(1));
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval((timeout - KEEPALIVE_IDLE) / KEEPALIVE_PROBES)
+        .with_retries(KEEPALIVE_PROBES);
     let result = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT)))
-        .and_then(|()| socket.set_tcp_keepalive(&probes.with_retries(2)));
+        .and_then(|()| socket.set_tcp_user_timeout(Some(timeout)))
+        .and_then(|()| socket.set_tcp_keepalive(&probes));
     if let Err(error) = result {
         log::debug!("cannot set the TCP options of a connection: {error}");
     }
