Name different holders of a prefix that all upstreams hold

`PrefixIndex::lookup` names at most eight holders, and of a block that more hold always the first eight recorded: prompts that share only their instructions all gave those eight credit for a cached prefix.

Change: the prompt's last block decides with which holder the list begins.

Test: `prompts_with_common_instructions_name_different_holders` (90 upstreams); with the fixed order one holder was named first by all 900 prompts and it fails.

--- a/crates/anvillift-routing/src/prefix.rs
+++ b/crates/anvillift-routing/src/prefix.rs
@@ -182,14 +182,17 @@
         }
     }
 
-    /// Holders of the longest prefixes of a prompt, longest first.
+    /// Holders of the longest prefixes of a prompt, longest first. If more hold a
+    /// prefix than are returned, the prompt decides which of them are, so that a
+    /// prefix that all hold does not send all prompts to the same few.
     pub fn lookup(&self, blocks: &[u64]) -> Vec<CachedPrefix> {
         let mut found: Vec<CachedPrefix> = Vec::new();
+        let prompt_key = blocks.last().copied().unwrap_or_default();
         for depth in sampled_depths(blocks.len()).rev() {
             let block = blocks[depth - 1];
-            let block_entries =
-                self.newer.entries_of(block).iter().chain(self.older.entries_of(block));
-            for entry in block_entries {
+            let newer = rotated(self.newer.entries_of(block), prompt_key);
+            let older = rotated(self.older.entries_of(block), prompt_key);
+            for entry in newer.chain(older) {
                 let is_found = found.iter().any(|cached| cached.holder == entry.holder);
                 if is_found || !self.is_valid(entry) {
                     continue;
@@ -241,6 +244,12 @@
     }
 }
 
+/// The entries in their order, from one that the key chooses.
+fn rotated(entries: &[BlockEntry], key: u64) -> impl Iterator<Item = &BlockEntry> {
+    let start = key.checked_rem(entries.len() as u64).unwrap_or_default() as usize;
+    entries[start..].iter().chain(&entries[..start])
+}
+
 fn sampled_depths(block_count: usize) -> impl DoubleEndedIterator<Item = usize> {
     let count = SAMPLED_DEPTHS.partition_point(|depth| *depth <= block_count);
     SAMPLED_DEPTHS[..count].iter().copied()
--- a/crates/anvillift-routing/tests/prefix.rs
+++ b/crates/anvillift-routing/tests/prefix.rs
@@ -1,5 +1,7 @@
 //! Tests of the index of prompt prefixes.
 
+use std::collections::BTreeMap;
+
 use anvillift_routing::prefix::{self, PrefixIndex, PrefixIndexSettings};
 use anvillift_schema::name::Name;
 use anvillift_schema::upstream::CacheEvent;
@@ -34,6 +36,23 @@
     assert_eq!(holders(&index, &[1, 2, 3, 4, 5]), expected);
 }
 
+/// Guards against a pile-up at the first few upstreams where 90 of them hold the
+/// instructions that all prompts begin with and nothing else of them.
+#[test]
+fn prompts_with_common_instructions_name_different_holders() {
+    let mut index = PrefixIndex::new(PrefixIndexSettings::default());
+    let upstreams: Vec<Name> = (0..90).map(|number| Name::from(format!("u{number}"))).collect();
+    upstreams.iter().for_each(|upstream| index.record_sent(0, upstream, &[1, 2]));
+    let mut prompts_by_holder: BTreeMap<String, usize> = BTreeMap::new();
+    for prompt in 0..900 {
+        let first = holders(&index, &[1, 2, 1_000 + prompt]).swap_remove(0);
+        assert_eq!(first.1, 512);
+        *prompts_by_holder.entry(first.0).or_default() += 1;
+    }
+    assert_eq!(prompts_by_holder.len(), 90);
+    assert!(prompts_by_holder.values().all(|prompts| *prompts <= 20), "{prompts_by_holder:?}");
+}
+
 #[test]
 fn an_evicted_block_is_removed() {
     let upstream = Name::from("a");
