--- a/crates/anvillift-fleet/src/region_loads.rs
+++ b/crates/anvillift-fleet/src/region_loads.rs
@@ -84,6 +84,13 @@
         Some(in_flight.unprocessed_tokens as f64 / workers.max(1) as f64)
     }
 
+    /// Age of the report of a region, in milliseconds; `None` without one.
+    pub fn age_ms(&self, now_ms: u64, region: &str) -> Option<u64> {
+        let mut reports = self.reports.values();
+        let report = reports.find(|report| report.load.region.as_str() == region)?;
+        Some(now_ms.saturating_sub(report.received_ms))
+    }
+
     fn in_flight(&self, now_ms: u64, region: &str, service: &str) -> Option<InFlight> {
         let load = self.recent(now_ms).find(|load| load.region.as_str() == region)?;
         let reported = load.services.iter().find(|other| other.service.as_str() == service);
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -2,15 +2,17 @@
 //!
 //! [`front`] serves the connections of callers and of other entry hosts that
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
-//! makes attempts at the targets that [`target`] chooses; [`relay`] streams the
-//! response to the caller, and [`resume`] continues a broken stream at another
-//! worker. The policies behind these decisions are in `anvillift-fleet`.
+//! makes attempts at the targets that [`target`] chooses, unless [`overload`]
+//! rejects the request; [`relay`] streams the response to the caller, and [`resume`]
+//! continues a broken stream at another worker. The policies behind these decisions
+//! are in `anvillift-fleet`.
 
 mod admit;
 mod attempt;
 mod dispatch_state;
 mod forward;
 mod front;
+mod overload;
 mod pool;
 mod relay;
 mod request;
--- /dev/null
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -0,0 +1,68 @@
+//! Rejection of long prompts while this region has a large backlog of them, and the
+//! measured speed that the expected wait is computed from. The policy is
+//! [`admission`].
+
+use anvillift_fleet::admission;
+use anvillift_fleet::admission::ExpectedWait;
+use anvillift_schema::event::Event;
+use rand::Rng;
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::front::Origin;
+use crate::entry::request::Request;
+use crate::node::FleetView;
+
+impl Entry {
+    /// Whether a prompt of a caller is rejected because this region has a large backlog
+    /// of prompts.
+    pub(crate) fn is_overloaded(&self, request: &Request) -> bool {
+        if request.origin != Origin::Caller || !admission::may_reject(&request.prompt) {
+            return false;
+        }
+        let view = self.node.view.borrow();
+        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return false };
+        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
+        let mut dispatch = self.dispatch.borrow_mut();
+        let speed = dispatch.prompt_speeds.get(&request.service).copied().unwrap_or_default();
+        let wait_ms = speed.duration_ms(tokens);
+        let is_most_urgent = view.configuration.as_ref().is_some_and(|configuration| {
+            configuration.is_most_urgent(&request.service, request.route.priority)
+        });
+        let target_ms = request.route.target_latency_ms;
+        let expected = ExpectedWait { wait_ms, target_ms, is_most_urgent };
+        let is_rejected = admission::rejects(&expected, dispatch.rng.random());
+        if is_rejected {
+            log::info!(
+                event = Event::PromptRejected.number(), id = request.id.as_str(),
+                service = request.service.as_str(), backlog_tokens = backlog_tokens as u64,
+                backlog_age_ms = view.loads.age_ms(clock::now_ms(), &self.node.settings.region),
+                expected_ms = wait_ms as u64, target_ms = target_ms,
+                is_most_urgent = is_most_urgent;
+                "prompt rejected: the backlog of this region is too large"
+            );
+        }
+        is_rejected
+    }
+
+    /// Records that a worker of this region has begun to answer a long prompt.
+    pub(crate) fn record_prompt_speed(&self, request: &Request, first_ms: u64) {
+        if !admission::may_reject(&request.prompt) {
+            return;
+        }
+        let view = self.node.view.borrow();
+        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return };
+        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
+        let mut dispatch = self.dispatch.borrow_mut();
+        let speed = dispatch.prompt_speeds.entry(request.service.clone()).or_default();
+        speed.record(tokens, first_ms);
+    }
+
+    /// Prompt tokens per worker of this region that are not processed yet, of the
+    /// requests of all hosts.
+    fn backlog_tokens(&self, view: &FleetView, request: &Request) -> Option<f64> {
+        let own = &self.node.settings.region;
+        let workers = self.ready_workers(view, request, own).len();
+        view.loads.backlog_tokens(clock::now_ms(), own, &request.service, workers)
+    }
+}
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -8,11 +8,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use anvillift_fleet::admission::ExpectedWait;
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
-use anvillift_fleet::{LimitSharers, WorkerEntry, admission, choose, spill, start_wait, subset};
-use anvillift_schema::event::Event;
+use anvillift_fleet::{LimitSharers, WorkerEntry, choose, spill, start_wait, subset};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -167,9 +165,9 @@
         let draw = self.dispatch.borrow_mut().rng.random();
         let (region, reason) = if let Some(affinity_key) = request.affinity_key {
             let caching_region = self.caching_region(view, request, affinity_key);
-            let region =
+            let (region, reason) =
                 spill::region_for_prefix(caching_region.as_ref(), own_load, &others, draw)?;
-            (region.0.clone(), region.1)
+            (region.clone(), reason)
         } else {
             let has_prompt = request.prompt.input_tokens > 0;
             let thresholds =
@@ -206,60 +204,9 @@
         view.loads.load(clock::now_ms(), region, &request.service, workers.len(), slots)
     }
 
-    /// Whether a prompt of a caller is rejected because this region has a large backlog
-    /// of prompts.
-    pub(crate) fn is_overloaded(&self, request: &Request) -> bool {
-        if request.origin != Origin::Caller || !admission::may_reject(&request.prompt) {
-            return false;
-        }
-        let view = self.node.view.borrow();
-        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return false };
-        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
-        let mut dispatch = self.dispatch.borrow_mut();
-        let speed = dispatch.prompt_speeds.get(&request.service).copied().unwrap_or_default();
-        let wait_ms = speed.duration_ms(tokens);
-        let is_most_urgent = view.configuration.as_ref().is_some_and(|configuration| {
-            configuration.is_most_urgent(&request.service, request.route.priority)
-        });
-        let target_ms = request.route.target_latency_ms;
-        let expected = ExpectedWait { wait_ms, target_ms, is_most_urgent };
-        let is_rejected = admission::rejects(&expected, dispatch.rng.random());
-        if is_rejected {
-            log::info!(
-                event = Event::PromptRejected.number(), id = request.id.as_str(),
-                service = request.service.as_str(), backlog_tokens = backlog_tokens as u64,
-                expected_ms = wait_ms as u64, target_ms = target_ms,
-                is_most_urgent = is_most_urgent;
-                "prompt rejected: the backlog of this region is too large"
-            );
-        }
-        is_rejected
-    }
-
-    /// Records that a worker of this region has begun to answer a long prompt.
-    pub(crate) fn record_prompt_speed(&self, request: &Request, first_ms: u64) {
-        if !admission::may_reject(&request.prompt) {
-            return;
-        }
-        let view = self.node.view.borrow();
-        let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return };
-        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
-        let mut dispatch = self.dispatch.borrow_mut();
-        let speed = dispatch.prompt_speeds.entry(request.service.clone()).or_default();
-        speed.record(tokens, first_ms);
-    }
-
-    /// Prompt tokens per worker of this region that are not processed yet, of the
-    /// requests of all hosts.
-    fn backlog_tokens(&self, view: &FleetView, request: &Request) -> Option<f64> {
-        let own = &self.node.settings.region;
-        let workers = self.ready_workers(view, request, own).len();
-        view.loads.backlog_tokens(clock::now_ms(), own, &request.service, workers)
-    }
-
     /// The ready workers of a region for the service of a request, without those of
     /// data centres under evacuation.
-    fn ready_workers<'a>(
+    pub(super) fn ready_workers<'a>(
         &self,
         view: &'a FleetView,
         request: &'a Request,
