Leave the prompt itself out of the wait it is rejected for

Cause: read in the diff: the expected wait held the prompt's own tokens, so one longer than its route's target allows was rejected in most cases where nothing waited, and a route without a target rejected all long prompts.

Change: only the backlog counts; without a target nothing is rejected. The limits are 0.8 and 1.2 of the target, so that the backlog at which rejection begins stays what it was for a prompt of 9,000 tokens.

--- a/crates/anvillift-fleet/src/admission.rs
+++ b/crates/anvillift-fleet/src/admission.rs
@@ -13,9 +13,9 @@
 
 /// Expected wait from which prompts of less urgent routes are rejected, as a multiple
 /// of the target latency.
-const MAX_WAIT: f64 = 1.0;
+const MAX_WAIT: f64 = 0.8;
 /// The same for the most urgent routes of a service.
-const MAX_URGENT_WAIT: f64 = 1.5;
+const MAX_URGENT_WAIT: f64 = 1.2;
 /// Wait above the limit at which the largest share is rejected, as a multiple of the
 /// target latency.
 const FULL_REJECTION_EXCESS: f64 = 0.75;
@@ -30,13 +30,15 @@
     prompt.input_tokens >= MIN_REJECTED_TOKENS
 }
 
-/// The wait of a prompt until its answer begins, as expected when it arrives.
+/// The wait that is expected for a prompt when it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct ExpectedWait {
-    /// Time until the workers have processed the backlog and the prompt, in
-    /// milliseconds.
+    /// Time until the workers have processed the present backlog, in milliseconds.
+    /// The prompt itself does not count, so that a long one is not rejected where
+    /// nothing waits.
     pub wait_ms: f64,
-    /// Target latency of the route, in milliseconds.
+    /// Target latency of the route, in milliseconds; 0 if it has none, and then
+    /// nothing is rejected.
     pub target_ms: u64,
     /// Whether no route to the service is more urgent.
     pub is_most_urgent: bool,
@@ -44,8 +46,11 @@
 
 /// Whether a long prompt is rejected; `draw` lies between 0 and 1.
 pub fn rejects(expected: &ExpectedWait, draw: f64) -> bool {
+    if expected.target_ms == 0 {
+        return false;
+    }
     let limit = if expected.is_most_urgent { MAX_URGENT_WAIT } else { MAX_WAIT };
-    let wait = expected.wait_ms / expected.target_ms.max(1) as f64;
+    let wait = expected.wait_ms / expected.target_ms as f64;
     let share = (wait - limit) / FULL_REJECTION_EXCESS;
     draw < share.min(MAX_REJECTED_SHARE)
 }
--- a/crates/anvillift-node/src/entry/overload.rs
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -22,10 +22,9 @@
         }
         let view = self.node.view.borrow();
         let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return false };
-        let tokens = backlog_tokens + request.prompt.input_tokens as f64;
         let mut dispatch = self.dispatch.borrow_mut();
         let speed = dispatch.prompt_speeds.get(&request.service).copied().unwrap_or_default();
-        let wait_ms = speed.duration_ms(tokens);
+        let wait_ms = speed.duration_ms(backlog_tokens);
         let is_most_urgent = view.configuration.as_ref().is_some_and(|configuration| {
             configuration.is_most_urgent(&request.service, request.route.priority)
         });
