Count the prefix that a prompt leaves behind when it leaves a busy region

Cause: a prompt whose prefix is cached in a busy region left it at the difference in load of any other prompt, though its prefix has to be computed again elsewhere.

Change: the difference has to outweigh twice the load of the prefix as well.

Test: `prompts_with_a_cached_prefix_leave_at_a_larger_difference_only`.

--- a/crates/anvillift-fleet/src/choose.rs
+++ b/crates/anvillift-fleet/src/choose.rs
@@ -113,8 +113,12 @@
 
 /// Load of requests in flight, in batches of `slots` requests.
 pub fn load(in_flight: &InFlight, slots: u64) -> f64 {
-    in_flight.requests as f64 / slots.max(1) as f64
-        + in_flight.unprocessed_tokens as f64 / TOKENS_PER_BATCH
+    in_flight.requests as f64 / slots.max(1) as f64 + token_load(in_flight.unprocessed_tokens)
+}
+
+/// Load of prompt tokens that have to be processed, in batches.
+pub fn token_load(tokens: u64) -> f64 {
+    tokens as f64 / TOKENS_PER_BATCH
 }
 
 /// Sorts the candidates, the best first. `affinity_key` is that of the prompt, if its
--- a/crates/anvillift-fleet/src/spill.rs
+++ b/crates/anvillift-fleet/src/spill.rs
@@ -11,9 +11,8 @@
 //!
 //! A prompt whose prefix is cached in another region is sent there, unless that
 //! region is too busy. It is then, like one whose prefix is cached in the local
-//! region, sent to a third region on the same terms as other prompts: computing the
-//! prefix again takes less time than waiting where callers leave before their answer
-//! begins.
+//! region, sent to a third region on the terms of other prompts, but only at a larger
+//! difference in load, since the prefix has to be computed again there.
 
 use anvillift_schema::name::Name;
 
@@ -44,6 +43,10 @@
     pub load: f64,
 }
 
+/// Load of computing a prefix again, as a multiple of its length: it also displaces
+/// what the other worker has cached.
+const PREFIX_LOAD_FACTOR: f64 = 2.0;
+
 /// The region whose worker probably has the prefix of a prompt cached.
 #[derive(Clone, Debug)]
 pub struct CachingRegion {
@@ -63,8 +66,10 @@
 }
 
 /// The region that takes a prompt with a long shared prefix instead of the local
-/// one, if any. `caching_region` is `None` if the local region has the prefix cached.
+/// one, if any. `prefix_load` is the load of the prefix, in batches; `caching_region`
+/// is `None` if the local region has the prefix cached.
 pub fn region_for_prefix<'a>(
+    prefix_load: f64,
     caching_region: Option<&'a CachingRegion>,
     own_load: Option<f64>,
     others: &'a [RegionLoad],
@@ -75,7 +80,9 @@
     {
         return Some((&region.name, SpillReason::CachedPrefix));
     }
-    let region = region_to_spill_to(&PROMPT_THRESHOLDS, own_load?, others, draw)?;
+    let min_difference = PROMPT_THRESHOLDS.min_difference + PREFIX_LOAD_FACTOR * prefix_load;
+    let thresholds = Thresholds { min_difference, ..PROMPT_THRESHOLDS };
+    let region = region_to_spill_to(&thresholds, own_load?, others, draw)?;
     Some((region, SpillReason::Load))
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/spill.rs
+++ b/crates/anvillift-fleet/tests/testsuite/spill.rs
@@ -86,6 +86,9 @@
     assert_eq!(at_entry.load(9_000, "north", "plans", 2, 8), None);
 }
 
+/// Load of a prefix of 12,000 tokens, in batches.
+const PREFIX_LOAD: f64 = 0.2;
+
 fn caching(load: f64) -> spill::CachingRegion {
     spill::CachingRegion { name: Name::from("keeper"), load: Some(load) }
 }
@@ -97,7 +100,8 @@
     others: &[RegionLoad],
 ) -> Vec<Option<SpillReason>> {
     let reason = |draw: f64| {
-        let chosen = spill::region_for_prefix(caching_region, Some(own_load), others, draw);
+        let chosen =
+            spill::region_for_prefix(PREFIX_LOAD, caching_region, Some(own_load), others, draw);
         chosen.map(|(_, reason)| reason)
     };
     [0.0, 0.25, 0.99].map(reason).to_vec()
@@ -123,11 +127,21 @@
     assert_eq!(reasons(Some(&caching(0.6)), 0.5, &others), [Some(SpillReason::CachedPrefix); 3]);
 }
 
+/// At a difference at which other prompts leave, computing the prefix again would cost
+/// more than the wait.
+#[test]
+fn prompts_with_a_cached_prefix_leave_at_a_larger_difference_only() {
+    let others = regions(&[("less", 0.6)]);
+    assert!(share_sent_away(1.2, &others) > 0.0);
+    assert_eq!(reasons(None, 1.2, &others), [None; 3]);
+    assert_eq!(reasons(None, 1.5, &others)[0], Some(SpillReason::Load));
+}
+
 /// Without reports of the loads a cached prefix decides alone.
 #[test]
 fn a_cached_prefix_decides_while_no_loads_are_known() {
     let unknown = spill::CachingRegion { load: None, ..caching(0.0) };
-    let chosen = spill::region_for_prefix(Some(&unknown), None, &[], 0.5);
+    let chosen = spill::region_for_prefix(PREFIX_LOAD, Some(&unknown), None, &[], 0.5);
     assert_eq!(chosen.map(|(_, reason)| reason), Some(SpillReason::CachedPrefix));
-    assert_eq!(spill::region_for_prefix(None, None, &[], 0.5), None);
+    assert_eq!(spill::region_for_prefix(PREFIX_LOAD, None, None, &[], 0.5), None);
 }
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -165,8 +165,14 @@
         let draw = self.dispatch.borrow_mut().rng.random();
         let (region, reason) = if let Some(affinity_key) = request.affinity_key {
             let caching_region = self.caching_region(view, request, affinity_key);
-            let (region, reason) =
-                spill::region_for_prefix(caching_region.as_ref(), own_load, &others, draw)?;
+            let prefix_load = choose::token_load(request.prompt.shared_tokens());
+            let (region, reason) = spill::region_for_prefix(
+                prefix_load,
+                caching_region.as_ref(),
+                own_load,
+                &others,
+                draw,
+            )?;
             (region.clone(), reason)
         } else {
             let has_prompt = request.prompt.input_tokens > 0;
