--- a/crates/anvillift-fleet/tests/testsuite/connections.rs
+++ b/crates/anvillift-fleet/tests/testsuite/connections.rs
@@ -2,8 +2,7 @@
 //!
 //! Guards against resets at the workers when all hosts of a region start at once: 65
 //! hosts that each know a few others must not open the connections of a third of the
-//! region each (seen on riego-zacapa-large `trouble-2`, where 141 connections were
-//! reset in two seconds after a loss of power).
+//! region each.
 
 use anvillift_fleet::{LimitSharers, connection_limit};
 use anvillift_schema::name::Name;
