--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -10,9 +10,7 @@
 
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
-use anvillift_fleet::{
-    LimitSharers, WorkerEntry, choose, connection_limit, spill, start_wait, subset,
-};
+use anvillift_fleet::{LimitSharers, WorkerEntry, choose, spill, start_wait, subset};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
@@ -149,11 +147,12 @@
         });
         let chosen = allowed.next()?;
         let address = view.workers.get(&chosen.worker)?.report.address.parse().ok()?;
+        let connection_share = service.connection_limit as usize / (hosts.len() + 1);
         Some(Target {
             name: chosen.worker.clone(),
             address,
             is_host: false,
-            connection_limit: connection_limit(service.connection_limit, &limit_sharers),
+            connection_limit: connection_share.max(2),
             reason,
         })
     }
