Log how the end of a relayed answer was marked

Cause: the hypotheses of the truncated stream can't be told apart, since 2708 names neither the framing of the upstream response nor whether it ended inside an event, and an answer that was truncated and not resumed had no 2708 at all.

Change: 2708 carries framing and partial_bytes, which EventPosition tracks for streams of events, and is logged and counted with the outcome truncated as well. What is sent to callers is unchanged.

--- /dev/null
+++ b/crates/anvillift-fleet/src/event_position.rs
@@ -0,0 +1,67 @@
+//! Position in a stream of server-sent events, relative to event boundaries.
+//!
+//! An event ends with an empty line. A stream that ends elsewhere was truncated,
+//! however the end of its body was marked.
+
+use std::ops::Range;
+
+/// Tracks whether the bytes received so far end with a complete event.
+#[derive(Clone, Copy, Debug)]
+pub struct EventPosition {
+    partial_bytes: u64,
+    received_bytes: u64,
+    /// The last two bytes received.
+    last: [u8; 2],
+}
+
+impl Default for EventPosition {
+    fn default() -> Self {
+        Self { partial_bytes: 0, received_bytes: 0, last: EVENT_END }
+    }
+}
+
+impl EventPosition {
+    /// Adds received bytes.
+    pub fn advance(&mut self, data: &[u8]) {
+        self.partial_bytes = match last_event_end(self.last, data, 0..data.len()) {
+            Some(end) => (data.len() - end) as u64,
+            None => self.partial_bytes + data.len() as u64,
+        };
+        self.received_bytes += data.len() as u64;
+        for byte in data.iter().rev().take(2).rev() {
+            self.last = [self.last[1], *byte];
+        }
+    }
+
+    /// Number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> u64 {
+        self.partial_bytes
+    }
+
+    /// Number of bytes received.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+}
+
+/// Bytes before the start of a stream, where an event may begin.
+pub(crate) const EVENT_END: [u8; 2] = [b'\n', b'\n'];
+
+/// Position in `bytes` after the last event that ends in `range`. `before` holds the
+/// two bytes that precede `bytes`. Lines end with CR, LF or both.
+pub(crate) fn last_event_end(before: [u8; 2], bytes: &[u8], range: Range<usize>) -> Option<usize> {
+    let byte_before = |position: usize, distance: usize| match position.checked_sub(distance) {
+        Some(index) => bytes[index],
+        None => before[before.len() + position - distance],
+    };
+    let ends_event = |position: &usize| {
+        let previous = byte_before(*position, 1);
+        match bytes[*position] {
+            b'\n' if previous == b'\r' => byte_before(*position, 2) == b'\n',
+            b'\n' => previous == b'\n',
+            b'\r' => previous == b'\r',
+            _ => false,
+        }
+    };
+    range.rev().find(ends_event).map(|position| position + 1)
+}
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod core_roster;
 mod directory;
+mod event_position;
 mod health;
 mod in_flight;
 mod prefixes;
--- a/crates/anvillift-http/src/framing.rs
+++ b/crates/anvillift-http/src/framing.rs
@@ -5,15 +5,19 @@
 use crate::headers::Headers;
 
 /// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
 pub enum Framing {
     /// The message has no body.
+    #[display("none")]
     None,
     /// The body has this number of bytes.
+    #[display("length")]
     Length(u64),
     /// The body ends with the last chunk and its trailers.
+    #[display("chunked")]
     Chunked,
     /// The body ends where the peer closes the connection.
+    #[display("until_close")]
     UntilClose,
 }
 
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -8,9 +8,10 @@
 use std::io;
 use std::time::Duration;
 
-use anvillift_fleet::{EventSplitter, InFlightRequest};
+use anvillift_fleet::{EventPosition, EventSplitter, InFlightRequest};
 use anvillift_http::{BodyReader, Connection, Framing, HttpError, ResponseHead};
 use anvillift_schema::event::Event;
+use anvillift_schema::name::Name;
 use bytes::Bytes;
 use tokio::time;
 
@@ -23,6 +24,9 @@
 use crate::entry::request::Request;
 use crate::entry::target::Target;
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM_MEDIA_TYPE: &str = "text/event-stream";
+
 /// The response that is being relayed. It is replaced when the stream is resumed
 /// at another worker.
 pub(super) struct UpstreamResponse {
@@ -31,19 +35,51 @@
     pub(super) lease: Lease,
     pub(super) head: ResponseHead,
     pub(super) body: BodyReader,
+    framing: Framing,
+    /// Position in the stream of events; `None` for other responses.
+    position: Option<EventPosition>,
     pub(super) answered_early: bool,
 }
 
 impl UpstreamResponse {
-    pub(super) fn new(started: StartedAttempt, response: StartedResponse) -> Self {
-        let StartedResponse { lease, head, body, answered_early, .. } = response;
+    pub(super) fn new(
+        request: &Request,
+        started: StartedAttempt,
+        response: StartedResponse,
+    ) -> Self {
+        let StartedResponse { lease, head, body, framing, answered_early } = response;
         let StartedAttempt { target, in_flight, .. } = started;
-        Self { target, in_flight, lease, head, body, answered_early }
+        let position = is_event_stream(request, &head).then(EventPosition::default);
+        Self { target, in_flight, lease, head, body, framing, position, answered_early }
     }
 
     async fn next_data(&mut self) -> Result<Option<Bytes>, HttpError> {
         let body = &mut self.body;
-        self.lease.connection()?.read_body(body).await
+        let read = self.lease.connection()?.read_body(body).await?;
+        if let (Some(position), Some(data)) = (&mut self.position, &read) {
+            position.advance(data);
+        }
+        Ok(read)
+    }
+}
+
+/// Facts about the last upstream response of an answer, for its log line.
+struct EndedResponse {
+    from: Name,
+    status: u16,
+    framing: Framing,
+    /// Bytes after the last complete event of a stream, otherwise 0.
+    partial_bytes: u64,
+}
+
+impl EndedResponse {
+    fn of(upstream: &UpstreamResponse) -> Self {
+        Self {
+            from: upstream.target.name.clone(),
+            status: upstream.head.status,
+            framing: upstream.framing,
+            partial_bytes: upstream.position.map_or(0, |position| position.partial_bytes()),
+        }
     }
 }
 
@@ -93,7 +129,7 @@
     ) -> ConnectionAction {
         let keep_alive = keep_alive && !self.node.is_leaving();
         let mut writer = ResponseWriter::new(&response, request, keep_alive);
-        let mut upstream = UpstreamResponse::new(started, response);
+        let mut upstream = UpstreamResponse::new(request, started, response);
         loop {
             match self.next_step(caller, request, &attempts, &mut upstream, &writer).await {
                 RelayStep::Data(data) => {
@@ -119,9 +155,11 @@
                     }
                 }
                 RelayStep::Truncated(reason) => {
+                    let ended = EndedResponse::of(&upstream);
                     self.abandon_upstream(request, upstream, &reason);
                     let resumed = self.resume(caller, request, &mut attempts, &mut writer).await;
                     let Some(next) = resumed else {
+                        record_answer(request, &ended, &writer, "truncated");
                         caller.reset_on_drop();
                         return ConnectionAction::Close;
                     };
@@ -179,7 +217,8 @@
         }
     }
 
-    /// Records the end of a relayed response, logs it and records its metrics.
+    /// Records the end of a relayed response and returns its connection to the pool
+    /// where possible.
     fn finish_response(
         &self,
         request: &Request,
@@ -188,24 +227,9 @@
         success: Option<bool>,
         outcome: &str,
     ) {
-        let now_ms = clock::now_ms();
-        self.dispatch.borrow_mut().request_ended(now_ms, upstream.in_flight, success);
+        record_answer(request, &EndedResponse::of(&upstream), writer, outcome);
+        self.dispatch.borrow_mut().request_ended(clock::now_ms(), upstream.in_flight, success);
         self.notify_waiting();
-        let age_ms = request.age_ms();
-        let first_ms = writer.first_write_ms.map_or(age_ms, |ms| ms - request.arrived_ms);
-        log::info!(
-            event = Event::AnswerEnded.number(), id = request.id.as_str(),
-            route = request.route.name.as_str(), from = upstream.target.name.as_str(),
-            status = upstream.head.status, first_ms = first_ms, age_ms = age_ms,
-            parts = writer.chunks_written, pause_ms = writer.longest_pause_ms,
-            version = request.version;
-            "answer {outcome}"
-        );
-        metrics::counter!("anvillift_answers_total", "outcome" => outcome.to_owned()).increment(1);
-        metrics::histogram!("anvillift_first_byte_ms", "kind" => request.route.kind.to_string())
-            .record(first_ms as f64);
-        metrics::histogram!("anvillift_answer_ms", "kind" => request.route.kind.to_string())
-            .record(age_ms as f64);
         if upstream.body.is_complete() && !upstream.answered_early && outcome == "complete" {
             upstream.lease.release(&upstream.head);
         }
@@ -298,6 +322,41 @@
     }
 }
 
+/// Whether a response is a stream of events: its content type says so, or it names
+/// none and the route answers with streams.
+fn is_event_stream(request: &Request, head: &ResponseHead) -> bool {
+    let is_success = (200..300).contains(&head.status);
+    is_success
+        && head.headers.get("content-type").map_or(request.route.kind.is_stream(), |media_type| {
+            media_type.trim_start().to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE)
+        })
+}
+
+/// Logs how the answer to a caller ended and records its metrics.
+fn record_answer(
+    request: &Request,
+    response: &EndedResponse,
+    writer: &ResponseWriter,
+    outcome: &str,
+) {
+    let age_ms = request.age_ms();
+    let first_ms = writer.first_write_ms.map_or(age_ms, |ms| ms - request.arrived_ms);
+    log::info!(
+        event = Event::AnswerEnded.number(), id = request.id.as_str(),
+        route = request.route.name.as_str(), from = response.from.as_str(),
+        status = response.status, first_ms = first_ms, age_ms = age_ms,
+        parts = writer.chunks_written, pause_ms = writer.longest_pause_ms,
+        framing = response.framing.to_string(), partial_bytes = response.partial_bytes,
+        version = request.version;
+        "answer {outcome}"
+    );
+    metrics::counter!("anvillift_answers_total", "outcome" => outcome.to_owned()).increment(1);
+    metrics::histogram!("anvillift_first_byte_ms", "kind" => request.route.kind.to_string())
+        .record(first_ms as f64);
+    metrics::histogram!("anvillift_answer_ms", "kind" => request.route.kind.to_string())
+        .record(age_ms as f64);
+}
+
 fn log_truncated(request: &Request, target: &Target, reason: &str) {
     log::warn!(
         event = Event::UpstreamFailed.number(), id = request.id.as_str(),
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -64,7 +64,7 @@
                     attempts.run_count += 1;
                     events.drop_partial();
                     self.record_response(request, &mut started);
-                    return Some(UpstreamResponse::new(started, *response));
+                    return Some(UpstreamResponse::new(request, started, *response));
                 }
                 AttemptOutcome::Answered(response) => {
                     let reason =
