End a stream as truncated when it ends inside an event

Cause: a worker that marks the end of a stream by closing its connection, or that ends its chunks, inside an event. Only resumable streams were split into events and checked; for all other streams the end of the body by its framing was taken for the end of the stream. Class: completeness of an answer derived from a property of the route instead of from the answer itself.

Change: EventPosition, of the upstream response, decides for every stream of events (by content type, else by route) and every framing whether its end is one. A connection closed before the first event is no end either, nor for a response that resumes a stream. Streams go on in chunks, so that their end can be withheld.

A plain answer that ends with its connection can't be checked beyond a reset, which is passed on.

--- a/crates/anvillift-fleet/src/event_position.rs
+++ b/crates/anvillift-fleet/src/event_position.rs
@@ -5,6 +5,8 @@
 
 use std::ops::Range;
 
+use crate::truncated_stream::{InsideEventSnafu, TruncatedStream, WithoutEventsSnafu};
+
 /// Tracks whether the bytes received so far end with a complete event.
 #[derive(Clone, Copy, Debug)]
 pub struct EventPosition {
@@ -38,9 +40,17 @@
         self.partial_bytes
     }
 
-    /// Number of bytes received.
-    pub fn received_bytes(&self) -> u64 {
-        self.received_bytes
+    /// Checks a stream whose body has ended. `is_end_declared` is whether its framing
+    /// marked that end, by a length or a last chunk, so that a connection that closed
+    /// early can't be taken for it.
+    pub fn check_end(&self, is_end_declared: bool) -> Result<(), TruncatedStream> {
+        if self.partial_bytes > 0 {
+            return InsideEventSnafu { partial_bytes: self.partial_bytes }.fail();
+        }
+        if self.received_bytes == 0 && !is_end_declared {
+            return WithoutEventsSnafu.fail();
+        }
+        Ok(())
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/event_position.rs
+++ b/crates/anvillift-fleet/tests/testsuite/event_position.rs
@@ -1,6 +1,6 @@
 //! Boundaries of server-sent events.
 
-use anvillift_fleet::EventPosition;
+use anvillift_fleet::{EventPosition, TruncatedStream};
 use rstest::rstest;
 
 /// Guards against a stream that stops inside an event being taken for one that ends
@@ -21,7 +21,6 @@
         position.advance(&stream.as_bytes()[..split]);
         position.advance(&stream.as_bytes()[split..]);
         assert_eq!(position.partial_bytes(), partial_bytes, "split at {split}");
-        assert_eq!(position.received_bytes(), stream.len() as u64);
     }
 }
 
@@ -34,3 +33,21 @@
     }
     assert_eq!(position.partial_bytes(), 0);
 }
+
+/// Guards against a connection that closes before the first event being taken for a
+/// whole stream; only a declared end may follow no event at all.
+#[rstest]
+#[case::closed_at_once("", false, Err(TruncatedStream::WithoutEvents))]
+#[case::declared_end_at_once("", true, Ok(()))]
+#[case::closed_after_an_event("data: a\n\n", false, Ok(()))]
+#[case::closed_inside("data: a\n", false, Err(TruncatedStream::InsideEvent { partial_bytes: 8 }))]
+#[case::ended_inside("data: a\n", true, Err(TruncatedStream::InsideEvent { partial_bytes: 8 }))]
+fn end_is_accepted_only_between_events(
+    #[case] stream: &str,
+    #[case] is_end_declared: bool,
+    #[case] expected: Result<(), TruncatedStream>,
+) {
+    let mut position = EventPosition::default();
+    position.advance(stream.as_bytes());
+    assert_eq!(position.check_end(is_end_declared), expected);
+}
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::time::Duration;
 
-use anvillift_fleet::{EventPosition, EventSplitter, InFlightRequest};
+use anvillift_fleet::{EventPosition, EventSplitter, InFlightRequest, TruncatedStream};
 use anvillift_http::{BodyReader, Connection, Framing, HttpError, ResponseHead};
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -49,7 +49,7 @@
     ) -> Self {
         let StartedResponse { lease, head, body, framing, answered_early } = response;
         let StartedAttempt { target, in_flight, .. } = started;
-        let position = is_event_stream(request, &head).then(EventPosition::default);
+        let position = is_event_stream(request, &head, framing).then(EventPosition::default);
         Self { target, in_flight, lease, head, body, framing, position, answered_early }
     }
 
@@ -61,6 +61,13 @@
         }
         Ok(read)
     }
+
+    /// Checks a body that has ended by its framing: a stream must not end inside an
+    /// event, whatever the framing and the route.
+    fn check_end(&self) -> Result<(), TruncatedStream> {
+        let is_end_declared = self.framing != Framing::UntilClose;
+        self.position.map_or(Ok(()), |position| position.check_end(is_end_declared))
+    }
 }
 
 /// Facts about the last upstream response of an answer, for its log line.
@@ -207,8 +214,10 @@
             biased;
             read = time::timeout(read_timeout, upstream.next_data()) => match read {
                 Ok(Ok(Some(data))) => RelayStep::Data(data),
-                Ok(Ok(None)) if writer.is_complete_at_end(upstream) => RelayStep::Complete,
-                Ok(Ok(None)) => RelayStep::Truncated("stream ended inside an event".to_owned()),
+                Ok(Ok(None)) => match upstream.check_end() {
+                    Ok(()) => RelayStep::Complete,
+                    Err(error) => RelayStep::Truncated(error.to_string()),
+                },
                 Ok(Err(error)) => RelayStep::Truncated(error.to_string()),
                 Err(_) if request.remaining_ms() == 0 => RelayStep::Abandoned("timed_out"),
                 Err(_) => RelayStep::Stalled,
@@ -239,9 +248,12 @@
 impl ResponseWriter {
     fn new(response: &StartedResponse, request: &Request, keep_alive: bool) -> Self {
         let is_resumable = request.route.kind.may_repeat() && request.route.kind.is_stream();
-        let splits_events = is_resumable && response.head.status == 200;
+        let is_event_stream = is_event_stream(request, &response.head, response.framing);
+        let splits_events = is_resumable && is_event_stream && response.head.status == 200;
+        // A stream is sent without its length, so that its end can still be withheld
+        // when it turns out to be truncated.
         let has_length =
-            matches!(response.framing, Framing::None | Framing::Length(_)) && !splits_events;
+            matches!(response.framing, Framing::None | Framing::Length(_)) && !is_event_stream;
         let is_chunked = !has_length && request.minor_version >= 1;
         let keep_alive = keep_alive && (has_length || is_chunked);
         let mut head = response.head.clone();
@@ -277,13 +289,6 @@
         self.head.is_none()
     }
 
-    /// Whether the response is complete if the worker's response ends now: a
-    /// resumable stream must not end inside an event.
-    fn is_complete_at_end(&self, upstream: &UpstreamResponse) -> bool {
-        let has_partial_event = self.events.as_ref().is_some_and(EventSplitter::has_partial);
-        !(has_partial_event && upstream.head.status == 200)
-    }
-
     async fn write(&mut self, caller: &Connection, data: &[u8]) -> io::Result<()> {
         let complete_events = self.events.as_mut().map(|events| events.push(data));
         let data = complete_events.as_deref().unwrap_or(data);
@@ -324,9 +329,10 @@
 
 /// Whether a response is a stream of events: its content type says so, or it names
 /// none and the route answers with streams.
-fn is_event_stream(request: &Request, head: &ResponseHead) -> bool {
+fn is_event_stream(request: &Request, head: &ResponseHead, framing: Framing) -> bool {
     let is_success = (200..300).contains(&head.status);
     is_success
+        && framing != Framing::None
         && head.headers.get("content-type").map_or(request.route.kind.is_stream(), |media_type| {
             media_type.trim_start().to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE)
         })
