Log the software version of workers and the stream that a request resumes

Cause: the lines of an attempt name neither the version of its worker nor the stream that it resumes, so the hypotheses of the streams of two versions can't be told apart.

Change: reports carry the version of the worker's software (absent in those of older hosts, ignored by them); the lines of a worker's change and of an attempt name it, and the latter the request that began the stream. Nothing is decided by either yet.

--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -219,6 +219,7 @@
         || old.born_ms != report.born_ms
         || old.address != report.address
         || old.service != report.service
+        || old.version != report.version
         || existing.confirmed_from_sequence.is_some() && !existing.is_suspected_after(report)
         || (report.cold_ms > 0) != was_cold
 }
--- a/crates/anvillift-fleet/tests/testsuite/workers.rs
+++ b/crates/anvillift-fleet/tests/testsuite/workers.rs
@@ -18,6 +18,7 @@
         state: FleetWorkerState::Ready,
         cold_ms: 0,
         remaining_ms: 0,
+        version: None,
     }
 }
 
--- a/crates/anvillift-node/src/core/reports.rs
+++ b/crates/anvillift-node/src/core/reports.rs
@@ -179,7 +179,7 @@
     log::info!(
         event = Event::WorkerChanged.number(), worker = report.id.as_str(),
         born_ms = report.born_ms, sequence = report.sequence, address = report.address.as_str(),
-        service = report.service.as_str(), cold_ms = report.cold_ms, how = how;
+        service = report.service.as_str(), worker_version = report.version.as_ref().map_or("", Name::as_str), cold_ms = report.cold_ms, how = how;
         "worker is {}", report.state
     );
 }
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -25,6 +25,8 @@
     pub engine_priority: &'static str,
     /// Id of the last event received, from which a resumed stream continues.
     pub last_event_id: &'static str,
+    /// Id of the request that began the stream which a request resumes.
+    pub resumes: &'static str,
     /// Fields that are removed from callers' requests, since only this system
     /// may set them.
     pub system_only: &'static [&'static str],
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -50,6 +50,7 @@
         let service = route.target(draw).map(|target| target.service.clone());
         let service = service.unwrap_or_else(Name::default);
         let prompt = (self.node.dialect.decode_prompt)(&head.headers);
+        let resumes = head.headers.get(names.resumes).map(Name::from);
         let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
         self.strip_headers(&mut head);
@@ -57,6 +58,7 @@
             head,
             body,
             id,
+            resumes,
             route,
             service,
             prompt,
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -279,6 +279,8 @@
         event = Event::AttemptEnded.number(), id = request.id.as_str(),
         route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason,
         outcome = outcome, reason = reason, waited_ms = clock::now_ms() - began_ms,
+        worker_version = target.version.as_ref().map_or("", Name::as_str),
+        resumes = request.resumes.as_ref().map_or("", Name::as_str),
         age_ms = request.age_ms(), left_ms = request.remaining_ms(), version = request.version;
         "attempt"
     );
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -217,12 +217,13 @@
         let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
         let confirmation = confirmation_frame(&report);
         let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
+        let version = report.version.clone();
         let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
         if has_changed {
             self.notify_waiting();
             log::info!(
                 event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
-                from = from.as_str();
+                worker_version = version.as_ref().map_or("", Name::as_str), from = from.as_str();
                 "worker is {state}"
             );
         }
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -18,6 +18,8 @@
     pub(crate) body: Option<Bytes>,
     /// Id from the request id field.
     pub(crate) id: String,
+    /// Id of the request that began the stream which this one resumes.
+    pub(crate) resumes: Option<Name>,
     pub(crate) route: Arc<Route>,
     /// Service drawn from the targets of the route.
     pub(crate) service: Name,
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -37,6 +37,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the target is an entry host rather than a worker.
     pub(crate) is_host: bool,
+    /// Version of the worker's software, if its reports name it; `None` for a host.
+    pub(crate) version: Option<Name>,
     /// Most connections that this host may have to the target.
     pub(crate) connection_limit: usize,
     /// Rule that chose the target, as logged.
@@ -146,12 +148,14 @@
                     )
         });
         let chosen = allowed.next()?;
-        let address = view.workers.get(&chosen.worker)?.report.address.parse().ok()?;
+        let report = &view.workers.get(&chosen.worker)?.report;
+        let address = report.address.parse().ok()?;
         let connection_share = service.connection_limit as usize / (hosts.len() + 1);
         Some(Target {
             name: chosen.worker.clone(),
             address,
             is_host: false,
+            version: report.version.clone(),
             connection_limit: connection_share.max(2),
             reason,
         })
@@ -285,6 +289,7 @@
             name: host.name.clone(),
             address: host.forward_address.parse().ok()?,
             is_host: true,
+            version: None,
             connection_limit: MAX_HOST_CONNECTIONS,
             reason,
         })
