Keep a stream at the software version that began it

Cause: nothing in the fleet knew the version of a worker, and no host read Resumes. A stream that a caller took up went to any ready worker, as did one that a host resumed within an answer. Class: the continuation of something stateful was routed by the state of the workers alone, without the identity of what is continued.

Change: hosts record the version that began each resumable stream before its first event is sent. Where another version may have served the service within the time in which streams are taken up, or this host may have missed news (just started, a region not heard), the records are sent to a core of the own region and one of another, after 25 ms or at once when a stream breaks off. A request that resumes a stream is sent only to workers of the version that its host has recorded, derives as certain, or is told by a core; if nobody knows, it is refused as not run (1307, 503, Retry-After). A host that resumes within an answer keeps to the version too. Between hosts a header names the version that must be chosen and the one that was; an answer of an older host, which names none, is never joined. The frames about streams go only to cores that say that they understand them.

Why it works: a stream is joined only where its version is known from a record made before the caller had its first event, or where no other version can have begun it; everything else is refused. The records survive the host, and one core or region.

--- a/crates/anvillift-fleet/src/configuration.rs
+++ b/crates/anvillift-fleet/src/configuration.rs
@@ -55,6 +55,13 @@
         self.routes.iter().all(|route| route.priority >= priority || !is_target(route))
     }
 
+    /// Longest time between the start of a stream and a request that resumes it, in
+    /// milliseconds: neither attempt of its caller outlasts its route's timeout.
+    pub fn stream_retention_ms(&self) -> u64 {
+        let streams = self.routes.iter().filter(|route| route.kind.is_stream());
+        2 * streams.map(|route| route.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Checks that routes are distinct, refer to existing services, have a target
     /// with a weight above 0 and have a timeout.
     pub fn check(&self) -> Result<(), ConfigurationError> {
--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -5,7 +5,7 @@
 //! alive while messages arrive from it directly, or while another host reports that
 //! it receives them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 use anvillift_schema::name::Name;
@@ -47,6 +47,11 @@
 }
 
 impl HostRecord {
+    /// Whether a message arrived so recently that the region of the host is reachable.
+    fn is_heard(&self, now_ms: u64) -> bool {
+        self.last_direct_ms.is_some_and(|ms| ms + MAX_REGION_SILENCE_MS >= now_ms)
+    }
+
     fn is_direct(&self, now_ms: u64) -> bool {
         self.last_direct_ms.is_some_and(|ms| ms + DIRECT_ALIVE_MS >= now_ms)
     }
@@ -60,17 +65,27 @@
     /// Last time at which this host was isolated: it relies on the reports of cores
     /// and none was connected.
     last_isolated_ms: u64,
+    /// Regions of which a core was ever known, also if it has been removed.
+    core_regions: BTreeSet<Name>,
 }
 
 impl HostTable {
     /// Creates an empty table.
     pub fn new(settings: HostTableSettings) -> Self {
-        Self { hosts: BTreeMap::new(), settings, last_isolated_ms: 0 }
+        Self {
+            hosts: BTreeMap::new(),
+            settings,
+            last_isolated_ms: 0,
+            core_regions: BTreeSet::new(),
+        }
     }
 
     /// Adds or updates a description; returns whether it was accepted as new.
     /// `is_direct` means that it came from the host itself.
     pub fn merge(&mut self, now_ms: u64, host: FleetHost, is_direct: bool) -> bool {
+        if host.role == FleetHostRole::Core {
+            self.core_regions.insert(host.region.clone());
+        }
         let Some(record) = self.hosts.get_mut(&host.name) else {
             let last_direct_ms = is_direct.then_some(now_ms);
             self.hosts.insert(
@@ -81,7 +96,7 @@
         };
         let (new, old) = ((host.boot, host.revision), (record.host.boot, record.host.revision));
         // A host is the authority on its own description, even if its clock was set back.
-        let accepted = new > old || (is_direct && new != old);
+        let accepted = new > old || (is_direct && record.host != host);
         if new >= old || is_direct {
             record.last_seen_ms = now_ms;
         }
@@ -201,9 +216,7 @@
     /// forward and receive requests may be well.
     pub fn is_region_reachable(&self, now_ms: u64, region: &str) -> bool {
         let cores = || self.hosts.values().filter(|record| record.host.role == FleetHostRole::Core);
-        let is_heard = |record: &HostRecord| {
-            record.last_direct_ms.is_some_and(|last_ms| last_ms + MAX_REGION_SILENCE_MS >= now_ms)
-        };
+        let is_heard = |record: &HostRecord| record.is_heard(now_ms);
         let mut cores_of_region = cores().filter(|record| record.host.region.as_str() == region);
         if cores().any(is_heard) {
             cores_of_region.any(is_heard)
@@ -212,6 +225,20 @@
         }
     }
 
+    /// Whether this host hears a core of every region that ever had one, so that it
+    /// misses no news of any region.
+    pub fn are_all_regions_reachable(&self, now_ms: u64) -> bool {
+        let is_reachable = |region: &Name| {
+            let heard = |record: &HostRecord| {
+                record.host.role == FleetHostRole::Core
+                    && record.host.region == *region
+                    && record.is_heard(now_ms)
+            };
+            self.hosts.values().any(heard)
+        };
+        !self.core_regions.is_empty() && self.core_regions.iter().all(is_reachable)
+    }
+
     /// Removes hosts that have been silent for a long time. Silence while this host
     /// was isolated does not count: the others may still share limits with it.
     pub fn remove_silent(&mut self, now_ms: u64) {
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -10,6 +10,8 @@
 use anvillift_schema::fleet::{FleetWorker, FleetWorkerState};
 use anvillift_schema::name::Name;
 
+use crate::version_history::VersionHistory;
+
 /// Time after which a worker without reports is removed, in milliseconds.
 const REMOVE_AFTER_MS: u64 = 120_000;
 
@@ -77,6 +79,7 @@
 pub struct WorkerTable {
     workers: BTreeMap<Name, WorkerEntry>,
     by_address: BTreeMap<String, Name>,
+    history: VersionHistory,
 }
 
 impl WorkerTable {
@@ -86,12 +89,16 @@
         if existing.is_some_and(|existing| !supersedes(&report, &existing.report)) {
             return false;
         }
-        if !self.assign_address(&report) {
+        if !self.assign_address(now_ms, &report) {
             return false;
         }
         let existing = self.workers.get(&report.id);
         let is_relevant =
             existing.is_none_or(|existing| changes_decisions(&report, existing, now_ms));
+        self.history.record(now_ms, &report);
+        if let Some(existing) = existing {
+            self.history.record(now_ms, &existing.report);
+        }
         let suspected = existing.filter(|existing| existing.is_suspected_after(&report));
         let confirmed_from_sequence =
             suspected.and_then(|existing| existing.confirmed_from_sequence);
@@ -144,6 +151,7 @@
             })
             .collect();
         self.workers.retain(|_, entry| entry.last_received_ms + REMOVE_AFTER_MS >= now_ms);
+        self.history.remove_old(now_ms);
         let workers = &self.workers;
         self.by_address.retain(|_, id| workers.contains_key(id));
         expired
@@ -158,6 +166,7 @@
         };
         self.workers
             .retain(|_, entry| serves(entry) || entry.last_received_ms + REMOVE_AFTER_MS >= now_ms);
+        self.history.remove_old(now_ms);
         let workers = &self.workers;
         self.by_address.retain(|_, id| workers.contains_key(id));
     }
@@ -180,9 +189,23 @@
         self.workers.values().filter(serves)
     }
 
+    /// The version that all workers of a service have had since `since_ms`, or `None`
+    /// if there were several, none, or one that is unknown. A worker that has not left
+    /// may still serve, however old its last report is.
+    pub fn only_version_since(&self, service: &str, since_ms: u64) -> Option<&Name> {
+        let may_serve = |entry: &&WorkerEntry| {
+            entry.report.state != FleetWorkerState::Left && entry.report.service.as_str() == service
+        };
+        let current = self.workers.values().filter(may_serve);
+        let current = current.map(|entry| entry.report.version.as_ref());
+        let mut versions = self.history.seen_since(service, since_ms).chain(current);
+        let first = versions.next()??;
+        versions.all(|version| version == Some(first)).then_some(first)
+    }
+
     /// Assigns an address to the worker that started last. Returns whether that is
     /// the worker of the report.
-    fn assign_address(&mut self, report: &FleetWorker) -> bool {
+    fn assign_address(&mut self, now_ms: u64, report: &FleetWorker) -> bool {
         if let Some(owner) = self.by_address.get(&report.address)
             && *owner != report.id
             && let Some(entry) = self.workers.get_mut(owner)
@@ -191,6 +214,7 @@
                 return false;
             }
             entry.report.state = FleetWorkerState::Left;
+            self.history.record(now_ms, &entry.report);
         }
         self.by_address.insert(report.address.clone(), report.id.clone());
         true
--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -21,6 +21,7 @@
         operator_address: name.to_owned(),
         forward_address: String::new(),
         storage_id: Name::from(disk),
+        remembers_streams: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -22,6 +22,7 @@
         operator_address: String::new(),
         forward_address: String::new(),
         storage_id: Name::default(),
+        remembers_streams: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -17,5 +17,6 @@
 mod seed;
 mod spill;
 mod start_wait;
+mod stream_origin;
 mod subset;
 mod workers;
--- a/crates/anvillift-fleet/tests/testsuite/region_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/region_contact.rs
@@ -26,6 +26,7 @@
         operator_address: String::new(),
         forward_address: name.to_owned(),
         storage_id: Name::default(),
+        remembers_streams: true,
     }
 }
 
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -3,12 +3,14 @@
 //!
 //! [`calls`] answers operators, workers and callers; [`reports`] relays workers'
 //! reports to the other hosts; [`control_log`] runs the replica; [`gossip`] sends
-//! host lists, region loads and control versions, and changes the voters.
+//! host lists, region loads and control versions, and changes the voters; [`streams`]
+//! remembers which version began a stream.
 
 mod calls;
 mod control_log;
 mod gossip;
 mod reports;
+mod streams;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -126,12 +128,15 @@
                     hub.send(from, FleetFrame::Control(control));
                 }
             }
+            FleetFrame::Streams(streams) => self.on_streams(streams),
+            FleetFrame::StreamWanted(query) => self.on_stream_query(from, &query),
             // A core host takes the control state from its log and sums up the loads
             // itself.
             FleetFrame::Control(_)
             | FleetFrame::ControlNews(_)
             | FleetFrame::Heard(_)
-            | FleetFrame::Loads(_) => (),
+            | FleetFrame::Loads(_)
+            | FleetFrame::StreamKnown(_) => (),
         }
     }
 
@@ -144,6 +149,7 @@
             self.node.refresh_own_entry();
             self.node.dial_cores();
             self.expire_workers();
+            self.node.view.borrow_mut().remove_old_streams(crate::clock::now_ms());
             self.send_region_loads();
             self.send_hosts_to_cores(ticks);
             self.send_live_entries(ticks);
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of a request: finds its route, service and deadline, and strips
 //! header fields that are not forwarded.
 
-use anvillift_fleet::{Prompt, choose};
+use anvillift_fleet::{Prompt, VersionConstraint, choose};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -9,7 +9,7 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::entry::attempt::{FORWARDED_FROM_HEADER, NOT_RUN_HEADER};
+use crate::entry::attempt::{FORWARDED_FROM_HEADER, NOT_RUN_HEADER, STREAM_VERSION_HEADER};
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
@@ -50,6 +50,7 @@
         let service = route.target(draw).map(|target| target.service.clone());
         let service = service.unwrap_or_else(Name::default);
         let prompt = (self.node.dialect.decode_prompt)(&head.headers);
+        let version_constraint = version_constraint(&head, origin);
         let resumes = head.headers.get(names.resumes).map(Name::from);
         let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
@@ -63,6 +64,7 @@
             service,
             prompt,
             affinity_key,
+            version_constraint,
             origin,
             arrived_ms,
             deadline_ms: arrived_ms + timeout_ms,
@@ -101,6 +103,7 @@
             names.expected_worker,
             names.engine_priority,
             FORWARDED_FROM_HEADER,
+            STREAM_VERSION_HEADER,
         ];
         let framing = ["content-length", "expect", NOT_RUN_HEADER];
         head.headers.retain(|name| {
@@ -116,3 +119,9 @@
         clock::now_ms() > since_ms + until_ms
     }
 }
+
+/// The versions that the host which forwards a request allows. Callers can't state any.
+fn version_constraint(head: &RequestHead, origin: Origin) -> VersionConstraint {
+    let stated = head.headers.get(STREAM_VERSION_HEADER).filter(|_| origin == Origin::Host);
+    stated.map_or(VersionConstraint::Any, |version| VersionConstraint::Only(Name::from(version)))
+}
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 
 use anvillift_fleet::retry_decision::AttemptEnd;
 use anvillift_http::{BodyReader, Connection, Framing, HttpError, Progress, ResponseHead};
+use anvillift_schema::name::Name;
 use tokio::time;
 
 use crate::clock;
@@ -29,12 +30,18 @@
 /// executed the request it was forwarded.
 pub(crate) const NOT_RUN_HEADER: &str = "Anvillift-Not-Run";
 
+/// Header field with the version of the worker's software: in a forwarded request the
+/// version that the receiving host must choose, in its answer the one that it chose.
+pub(crate) const STREAM_VERSION_HEADER: &str = "Anvillift-Stream-Version";
+
 /// A response whose head has been read, with the connection that carries the body.
 pub(crate) struct StartedResponse {
     pub(crate) lease: Lease,
     pub(crate) head: ResponseHead,
     pub(crate) body: BodyReader,
     pub(crate) framing: Framing,
+    /// Version of the software of the worker, or `None` if it isn't known.
+    pub(crate) version: Option<Name>,
     /// Whether the head arrived before the entire request was sent.
     pub(crate) answered_early: bool,
 }
@@ -167,12 +174,22 @@
                 format!("response with status {} lacks the stamp of a worker", head.status);
             return AttemptOutcome::NoResponse(AttemptEnd::Broken, reason);
         }
+        let version = if target.is_host {
+            head.headers.get(STREAM_VERSION_HEADER).map(Name::from)
+        } else {
+            target.version.clone()
+        };
+        if is_success && target.version.is_some() && version != target.version {
+            let reason = format!("resumed at version {version:?} instead of {:?}", target.version);
+            return AttemptOutcome::NoResponse(AttemptEnd::Broken, reason);
+        }
         let body = BodyReader::new(framing);
         AttemptOutcome::Answered(Box::new(StartedResponse {
             lease,
             head,
             body,
             framing,
+            version,
             answered_early,
         }))
     }
@@ -189,6 +206,9 @@
         head.headers.push(names.deadline_ms, request.remaining_ms().max(1).to_string());
         if target.is_host {
             head.headers.push(FORWARDED_FROM_HEADER, self.node.settings.region.to_string());
+            if let Some(version) = &target.version {
+                head.headers.push(STREAM_VERSION_HEADER, version.to_string());
+            }
         } else {
             head.headers.push(names.expected_worker, target.name.to_string());
             if !names.engine_priority.is_empty() && request.prompt.input_tokens > 0 {
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use anvillift_fleet::retry_decision::{AttemptEnd, FinalOutcome, NextStep, RequestState};
-use anvillift_fleet::{InFlightRequest, retry_decision};
+use anvillift_fleet::{InFlightRequest, VersionConstraint, retry_decision};
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -25,6 +25,8 @@
     pub(crate) attempt_count: u32,
     /// Attempts in which a worker may have executed the request.
     pub(crate) run_count: u32,
+    /// The software versions whose workers may take the next attempt.
+    pub(crate) version_constraint: VersionConstraint,
 }
 
 /// An attempt that counts as in flight at its target.
@@ -35,6 +37,11 @@
 }
 
 impl Attempts {
+    /// No attempts yet.
+    pub(crate) fn of(request: &Request) -> Self {
+        Self { version_constraint: request.version_constraint.clone(), ..Self::default() }
+    }
+
     pub(crate) fn state(&self, request: &Request) -> RequestState {
         let is_forwarded = request.origin == Origin::Host;
         RequestState {
@@ -56,9 +63,9 @@
         request: &Request,
         keep_alive: bool,
     ) -> ConnectionAction {
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::of(request);
         loop {
-            let Some(target) = self.next_target(request, &attempts.tried) else {
+            let Some(target) = self.next_target(request, &attempts) else {
                 let end = if attempts.run_count > 0 {
                     FinalOutcome::Unknown
                 } else {
@@ -190,7 +197,7 @@
         let allows = hosts.is_some_and(|hosts| {
             self.dispatch.borrow_mut().retries.allows(now_ms, &request.service, hosts)
         });
-        allows && self.next_target(request, &attempts.tried).is_some()
+        allows && self.next_target(request, attempts).is_some()
     }
 
     /// How long to wait for the head of the next response, in milliseconds: up to
@@ -233,12 +240,12 @@
         if !self.dispatch.borrow_mut().record_status(&target.name, is_failure) {
             return false;
         }
-        let has_other_target = self.next_target(request, &attempts.tried).is_some();
+        let has_other_target = self.next_target(request, attempts).is_some();
         has_other_target && self.outcome_after(request, attempts, AttemptEnd::Failed).is_none()
     }
 
     /// Logs a failed request and answers the caller.
-    async fn reply_failure(
+    pub(crate) async fn reply_failure(
         &self,
         caller: &Connection,
         request: &Request,
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -13,6 +13,9 @@
 use tokio::{task, time};
 
 use crate::entry::Entry;
+use crate::entry::forward::Attempts;
+use crate::entry::request_failure::RequestFailure;
+use crate::entry::stream_version::StreamLookup;
 use crate::entry::wait::WaitOutcome;
 use crate::node::FleetView;
 use crate::respond::Reply;
@@ -172,7 +175,7 @@
                 return ConnectionAction::Close;
             }
         }
-        let request = match self.admit(head, body, origin, arrived_ms) {
+        let mut request = match self.admit(head, body, origin, arrived_ms) {
             Ok(request) => request,
             Err(failure) => {
                 log::info!(
@@ -194,7 +197,18 @@
                 return ConnectionAction::Close;
             }
         }
-        self.forward(connection, &request, keep_alive).await
+        match self.find_stream_version(connection, &request).await {
+            StreamLookup::Found(version_constraint) => {
+                request.version_constraint = version_constraint;
+                self.forward(connection, &request, keep_alive).await
+            }
+            StreamLookup::Unknown => {
+                let attempts = Attempts::of(&request);
+                let failure = RequestFailure::STREAM_UNKNOWN;
+                self.reply_failure(connection, &request, &attempts, failure, keep_alive).await
+            }
+            StreamLookup::CallerLeft => ConnectionAction::Close,
+        }
     }
 
     /// Timeout of a request as stated by its caller, in milliseconds.
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -4,7 +4,8 @@
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
 //! makes attempts at the targets that [`target`] chooses, unless [`overload`]
 //! rejects the request; [`relay`] streams the response to the caller, and [`resume`]
-//! continues a broken stream at another worker. The policies behind these decisions
+//! continues a broken stream at another worker, of the version that
+//! [`stream_version`] has found. The policies behind these decisions
 //! are in `anvillift-fleet`.
 
 mod admit;
@@ -18,14 +19,16 @@
 mod request;
 mod request_failure;
 mod resume;
+mod stream_version;
 mod target;
 mod wait;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{ControlFetch, ServiceLoads, seed};
+use anvillift_fleet::{ControlFetch, ServiceLoads, StreamKey, seed};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
@@ -40,6 +43,7 @@
 use crate::dialect::{CallError, ControlCall, Dialect};
 use crate::entry::dispatch_state::DispatchState;
 use crate::entry::pool::Pool;
+use crate::entry::stream_version::AnswerSender;
 use crate::error::NodeError;
 use crate::hub::{Hub, HubHooks};
 use crate::node::Node;
@@ -76,6 +80,10 @@
     waiting_requests: Cell<usize>,
     /// Wakes the waiting requests when the fleet view changes.
     view_changed: Notify,
+    /// Wakes the task that tells cores about streams.
+    announcement_due: Notify,
+    /// Running lookups of the version that began a stream.
+    stream_lookups: RefCell<BTreeMap<StreamKey, Vec<AnswerSender>>>,
     /// Memory reserved for request bodies, in bytes.
     pub(crate) reserved_body_bytes: Cell<u64>,
     /// Time at which the planned stop started, or `None` before.
@@ -98,6 +106,8 @@
             in_service: Cell::new(0),
             waiting_requests: Cell::new(0),
             view_changed: Notify::new(),
+            announcement_due: Notify::new(),
+            stream_lookups: RefCell::default(),
             reserved_body_bytes: Cell::new(0),
             leaving_since_ms: Cell::new(None),
         });
@@ -107,6 +117,8 @@
         task::spawn_local(async move { housekeeper.run_housekeeping().await });
         let reporter = Rc::clone(&entry);
         task::spawn_local(async move { reporter.report_load().await });
+        let announcer = Rc::clone(&entry);
+        task::spawn_local(async move { announcer.run_announcements().await });
         Ok(entry)
     }
 
@@ -196,7 +208,10 @@
             FleetFrame::Loads(loads) => {
                 self.node.view.borrow_mut().loads.record_regions(clock::now_ms(), loads);
             }
+            FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
             FleetFrame::Consensus(_)
+            | FleetFrame::Streams(_)
+            | FleetFrame::StreamWanted(_)
             | FleetFrame::ControlWanted(_)
             | FleetFrame::WorkerSeen(_)
             | FleetFrame::Load(_) => (),
@@ -221,6 +236,8 @@
         let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
         if has_changed {
             self.notify_waiting();
+            // The version of recent streams may no longer be certain.
+            self.announcement_due.notify_one();
             log::info!(
                 event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
                 worker_version = version.as_ref().map_or("", Name::as_str), from = from.as_str();
@@ -261,6 +278,7 @@
             let now_ms = clock::now_ms();
             self.node.dial_cores();
             self.pool.prune(now_ms);
+            self.remove_ended_lookups();
             let held_index = self.node.view.borrow().control.index;
             let overdue_core = self.control_fetch.borrow_mut().retry(now_ms, held_index);
             if let Some(core) = overdue_core {
@@ -272,6 +290,7 @@
                 let mut view = self.node.view.borrow_mut();
                 view.hosts.remove_silent(now_ms);
                 view.workers.remove_gone(now_ms);
+                view.remove_old_streams(now_ms);
                 self.dispatch.borrow_mut().remove_stale(&view);
             }
             metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -17,9 +17,9 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::entry::attempt::StartedResponse;
+use crate::entry::attempt::{STREAM_VERSION_HEADER, StartedResponse};
 use crate::entry::forward::{Attempts, StartedAttempt};
-use crate::entry::front::ConnectionAction;
+use crate::entry::front::{ConnectionAction, Origin};
 use crate::entry::pool::Lease;
 use crate::entry::request::Request;
 use crate::entry::target::Target;
@@ -36,6 +36,8 @@
     pub(super) head: ResponseHead,
     pub(super) body: BodyReader,
     framing: Framing,
+    /// Version of the software of the worker, or `None` if it isn't known.
+    version: Option<Name>,
     /// Position in the stream of events; `None` for other responses.
     position: Option<EventPosition>,
     pub(super) answered_early: bool,
@@ -47,10 +49,10 @@
         started: StartedAttempt,
         response: StartedResponse,
     ) -> Self {
-        let StartedResponse { lease, head, body, framing, answered_early } = response;
+        let StartedResponse { lease, head, body, framing, version, answered_early } = response;
         let StartedAttempt { target, in_flight, .. } = started;
         let position = is_event_stream(request, &head, framing).then(EventPosition::default);
-        Self { target, in_flight, lease, head, body, framing, position, answered_early }
+        Self { target, in_flight, lease, head, body, framing, version, position, answered_early }
     }
 
     async fn next_data(&mut self) -> Result<Option<Bytes>, HttpError> {
@@ -138,6 +140,9 @@
         let mut writer = ResponseWriter::new(&response, request, keep_alive);
         let mut upstream = UpstreamResponse::new(request, started, response);
         loop {
+            if !writer.has_started() {
+                self.remember_stream(request, upstream.version.as_ref());
+            }
             match self.next_step(caller, request, &attempts, &mut upstream, &writer).await {
                 RelayStep::Data(data) => {
                     self.dispatch
@@ -150,7 +155,9 @@
                 }
                 RelayStep::Stalled => {
                     writer.can_switch = false;
-                    let resumed = self.resume(caller, request, &mut attempts, &mut writer).await;
+                    let version = upstream.version.clone();
+                    let resumed =
+                        self.resume(caller, request, &mut attempts, &mut writer, version).await;
                     if let Some(next) = resumed {
                         // Dropping the connection cancels the request at the previous worker.
                         self.abandon_upstream(
@@ -163,10 +170,14 @@
                 }
                 RelayStep::Truncated(reason) => {
                     let ended = EndedResponse::of(&upstream);
+                    let version = upstream.version.clone();
                     self.abandon_upstream(request, upstream, &reason);
-                    let resumed = self.resume(caller, request, &mut attempts, &mut writer).await;
+                    let resumed =
+                        self.resume(caller, request, &mut attempts, &mut writer, version).await;
                     let Some(next) = resumed else {
                         record_answer(request, &ended, &writer, "truncated");
+                        // The caller may take the stream up at another host right away.
+                        self.announce_streams();
                         caller.reset_on_drop();
                         return ConnectionAction::Close;
                     };
@@ -258,6 +269,11 @@
         let keep_alive = keep_alive && (has_length || is_chunked);
         let mut head = response.head.clone();
         head.headers.remove_hop_by_hop();
+        head.headers.remove(STREAM_VERSION_HEADER);
+        if let Some(version) = response.version.as_ref().filter(|_| request.origin == Origin::Host)
+        {
+            head.headers.push(STREAM_VERSION_HEADER, version.to_string());
+        }
         if !has_length {
             head.headers.remove("content-length");
         }
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvillift_fleet::{Prompt, Route};
+use anvillift_fleet::{Prompt, Route, VersionConstraint};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -28,6 +28,8 @@
     /// Key of the prefix whose cache decides between workers; `None` if the prefix is
     /// too short for that.
     pub(crate) affinity_key: Option<u64>,
+    /// The software versions whose workers may serve the request.
+    pub(crate) version_constraint: VersionConstraint,
     /// Whether a caller or another entry host sent the request.
     pub(crate) origin: Origin,
     /// Time at which the head was received.
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -28,6 +28,8 @@
     pub(crate) const NO_CONFIGURATION: Self = Self::retryable(Code::NotReady, 800);
     /// Other entry hosts can take the request at once.
     pub(crate) const DRAINING: Self = Self::retryable(Code::Draining, 10);
+    /// The host that began the stream tells cores about it within this time.
+    pub(crate) const STREAM_UNKNOWN: Self = Self::retryable(Code::StreamUnknown, 300);
     pub(crate) const OUTCOME_UNKNOWN: Self = Self::permanent(Code::UpstreamFailed);
     pub(crate) const TIMED_OUT: Self = Self::permanent(Code::UpstreamTimeout);
     pub(crate) const NO_ROUTE: Self = Self::permanent(Code::NotFound);
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use anvillift_fleet::VersionConstraint;
 use anvillift_fleet::retry_decision::AttemptEnd;
 use anvillift_http::Connection;
+use anvillift_schema::name::Name;
 
 use crate::entry::Entry;
 use crate::entry::attempt::AttemptOutcome;
@@ -37,23 +39,28 @@
     }
 
     /// Makes attempts until another worker resumes the stream after the last
-    /// complete event. Returns `None` if no further attempt is allowed or the
-    /// caller left.
+    /// complete event. Once an event was sent, only workers of `version`, which sent it,
+    /// may do so. Returns `None` if no further attempt is allowed, the version is
+    /// unknown or the caller left.
     pub(super) async fn resume(
         &self,
         caller: &mut Connection,
         request: &Request,
         attempts: &mut Attempts,
         writer: &mut ResponseWriter,
+        version: Option<Name>,
     ) -> Option<UpstreamResponse> {
         let events = writer.events.as_mut()?;
         let last_id = events.last_id().map(str::to_owned);
+        if writer.first_write_ms.is_some() {
+            attempts.version_constraint = VersionConstraint::Only(version?);
+        }
         let mut end = AttemptEnd::Broken;
         loop {
             if self.outcome_after(request, attempts, end).is_some() {
                 return None;
             }
-            let target = self.next_target(request, &attempts.tried)?;
+            let target = self.next_target(request, attempts)?;
             let mut started = self.start_attempt(request, attempts, target);
             let (resume_after, remaining_ms) = (last_id.as_deref(), request.remaining_ms());
             let outcome = self
--- /dev/null
+++ b/crates/anvillift-node/src/entry/stream_version.rs
@@ -0,0 +1,219 @@
+//! Keeps a stream at the software version that began it.
+//!
+//! [`Entry::remember_stream`] records the version of a resumable stream before its
+//! first event is sent. Where the version of other streams of the service isn't
+//! certain, cores are told, in batches, since the caller may take the stream up at
+//! another host. [`Entry::find_stream_version`] looks it up for a request that resumes
+//! a stream: in the own records, and else by asking the cores. The policy is
+//! [`stream_origin`].
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvillift_fleet::{RepeatKind, StreamKey, VersionConstraint, stream_origin};
+use anvillift_http::Connection;
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{
+    FleetFrame, FleetHostRole, FleetStreamAnswer, FleetStreamGroup, FleetStreamQuery, FleetStreams,
+};
+use anvillift_schema::name::Name;
+use tokio::sync::mpsc;
+use tokio::time;
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::request::Request;
+
+/// Time for which streams are collected before cores are told about them. Streams of a
+/// host that fails within this time can't be resumed elsewhere.
+const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(25);
+/// Longest wait for the answers of cores. It covers a round trip to a distant region.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// Most streams in one frame.
+const MAX_STREAMS_PER_FRAME: usize = 2_000;
+
+/// Answers of cores to one lookup; `None` is an answer without a version.
+type Answers = mpsc::UnboundedReceiver<Option<Name>>;
+/// Sending end of the answers to one lookup.
+pub(super) type AnswerSender = mpsc::UnboundedSender<Option<Name>>;
+
+/// Result of a lookup.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum StreamLookup {
+    /// The request may be sent to workers that the constraint allows.
+    Found(VersionConstraint),
+    /// Nobody knows which version began the stream.
+    Unknown,
+    /// The caller closed its connection.
+    CallerLeft,
+}
+
+impl Entry {
+    /// Records that a stream begins, or goes on, at a version. Call before the first
+    /// event is sent.
+    pub(super) fn remember_stream(&self, request: &Request, version: Option<&Name>) {
+        if request.route.kind != RepeatKind::ResumableStream {
+            return;
+        }
+        let Some(version) = version else { return };
+        let now_ms = clock::now_ms();
+        let mut view = self.node.view.borrow_mut();
+        for id in [Some(request.id.as_str()), request.resumes.as_ref().map(Name::as_str)] {
+            let Some(stream) = id.map(StreamKey::of_request) else { continue };
+            view.streams.record(now_ms, stream, version);
+            view.streams.mark_unannounced(&request.service, stream);
+        }
+        let is_certain = view.certain_version(&request.service).is_some();
+        drop(view);
+        if !is_certain {
+            self.announcement_due.notify_one();
+        }
+    }
+
+    /// Announces streams in batches whenever an announcement is due.
+    pub(super) async fn run_announcements(self: Rc<Self>) {
+        loop {
+            self.announcement_due.notified().await;
+            time::sleep(ANNOUNCEMENT_DELAY).await;
+            self.announce_streams();
+        }
+    }
+
+    /// Tells cores at once about the recorded streams whose version is not certain.
+    pub(super) fn announce_streams(&self) {
+        let Some(hub) = self.node.hub() else { return };
+        let keepers = self.stream_keepers();
+        if keepers.is_empty() {
+            return;
+        }
+        let mut view = self.node.view.borrow_mut();
+        let mut streams = std::mem::take(&mut view.streams);
+        let due = streams.take_unannounced(|service| view.certain_version(service).is_none());
+        view.streams = streams;
+        drop(view);
+        for (version, streams) in due {
+            for part in streams.chunks(MAX_STREAMS_PER_FRAME) {
+                let streams = part.iter().map(|stream| stream.0).collect();
+                let group = FleetStreamGroup { streams, version: version.clone() };
+                let frame = FleetFrame::Streams(FleetStreams { groups: vec![group] });
+                keepers.iter().for_each(|core| hub.send(core, frame.clone()));
+            }
+        }
+    }
+
+    /// Finds the version at which a request may be served: any, unless it resumes a
+    /// stream.
+    pub(super) async fn find_stream_version(
+        &self,
+        caller: &mut Connection,
+        request: &Request,
+    ) -> StreamLookup {
+        if let VersionConstraint::Only(_) = &request.version_constraint {
+            return StreamLookup::Found(request.version_constraint.clone());
+        }
+        if !self.resumes_stream(request) {
+            return StreamLookup::Found(VersionConstraint::Any);
+        }
+        let began_ms = clock::now_ms();
+        // Nobody has a record of the request's own id, so without an id of the stream
+        // only a version that is certain is found.
+        let id = request.resumes.as_ref().map_or(request.id.as_str(), Name::as_str);
+        let stream = StreamKey::of_request(id);
+        let known = self.node.view.borrow().version_of_stream(stream, &request.service);
+        if known.is_some() {
+            return lookup_result(request, known, "own", began_ms);
+        }
+        tokio::select! {
+            version = self.ask_cores(stream, &request.service) => {
+                lookup_result(request, version, "cores", began_ms)
+            }
+            () = caller.wait_for_close() => StreamLookup::CallerLeft,
+        }
+    }
+
+    /// Whether a request asks for the rest of a stream whose start its caller has.
+    fn resumes_stream(&self, request: &Request) -> bool {
+        let last_event_id = self.node.dialect.headers.last_event_id;
+        request.route.kind.is_stream()
+            && (request.resumes.is_some() || request.head.headers.contains(last_event_id))
+    }
+
+    /// Passes the answer of a core on to the lookups of its stream.
+    pub(super) fn on_stream_answer(&self, answer: FleetStreamAnswer) {
+        let lookups = self.stream_lookups.borrow();
+        for lookup in lookups.get(&StreamKey(answer.stream)).into_iter().flatten() {
+            // A lookup that has ended needs no answer.
+            lookup.send(answer.version.clone()).ok();
+        }
+    }
+
+    async fn ask_cores(&self, stream: StreamKey, service: &Name) -> Option<Name> {
+        let hub = self.node.hub()?;
+        let cores = self.stream_cores();
+        let (sender, answers) = mpsc::unbounded_channel();
+        self.stream_lookups.borrow_mut().entry(stream).or_default().push(sender);
+        let query = FleetStreamQuery { stream: stream.0, service: service.clone() };
+        cores.iter().for_each(|core| hub.send(core, FleetFrame::StreamWanted(query.clone())));
+        let version = time::timeout(LOOKUP_TIMEOUT, first_version(answers, cores.len())).await;
+        version.ok().flatten()
+    }
+
+    /// Removes the lookups that have ended.
+    pub(super) fn remove_ended_lookups(&self) {
+        self.stream_lookups.borrow_mut().retain(|_, senders| {
+            senders.retain(|sender| !sender.is_closed());
+            !senders.is_empty()
+        });
+    }
+
+    /// Linked cores that answer queries about streams.
+    fn stream_cores(&self) -> Vec<Name> {
+        let Some(hub) = self.node.hub() else { return Vec::new() };
+        let view = self.node.view.borrow();
+        let mut names = hub.connected();
+        names.retain(|name| {
+            let host = view.hosts.get(name);
+            host.is_some_and(|host| host.role == FleetHostRole::Core && host.remembers_streams)
+        });
+        names
+    }
+
+    fn stream_keepers(&self) -> Vec<Name> {
+        let names = self.stream_cores();
+        let view = self.node.view.borrow();
+        let cores = names.iter().filter_map(|name| view.hosts.get(name));
+        let own_name = self.node.own_host().name;
+        stream_origin::keepers(cores, &own_name, &self.node.settings.region)
+    }
+}
+
+/// Waits for the first answer with a version, until `count` answers have come.
+async fn first_version(mut answers: Answers, count: usize) -> Option<Name> {
+    for _ in 0..count {
+        if let Some(version) = answers.recv().await? {
+            return Some(version);
+        }
+    }
+    None
+}
+
+fn lookup_result(
+    request: &Request,
+    version: Option<Name>,
+    source: &str,
+    began_ms: u64,
+) -> StreamLookup {
+    log::info!(
+        event = Event::StreamLookedUp.number(), id = request.id.as_str(),
+        resumes = request.resumes.as_ref().map_or("", Name::as_str),
+        service = request.service.as_str(), source = source,
+        worker_version = version.as_ref().map_or("", Name::as_str),
+        waited_ms = clock::now_ms() - began_ms;
+        "version of the resumed stream looked up"
+    );
+    let result = if version.is_some() { "found" } else { "unknown" };
+    metrics::counter!("anvillift_stream_lookups_total", "result" => result).increment(1);
+    version.map_or(StreamLookup::Unknown, |version| {
+        StreamLookup::Found(VersionConstraint::Only(version))
+    })
+}
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -10,13 +10,16 @@
 
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
-use anvillift_fleet::{LimitSharers, WorkerEntry, choose, spill, start_wait, subset};
+use anvillift_fleet::{
+    LimitSharers, VersionConstraint, WorkerEntry, choose, spill, start_wait, subset,
+};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
 
 use crate::clock;
 use crate::entry::Entry;
+use crate::entry::forward::Attempts;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::node::FleetView;
@@ -37,7 +40,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the target is an entry host rather than a worker.
     pub(crate) is_host: bool,
-    /// Version of the worker's software, if its reports name it; `None` for a host.
+    /// Version of the worker's software, if its reports name it; for a host the version
+    /// of which it must choose a worker, if there is one.
     pub(crate) version: Option<Name>,
     /// Most connections that this host may have to the target.
     pub(crate) connection_limit: usize,
@@ -46,17 +50,18 @@
 }
 
 impl Entry {
-    /// The next target of a request other than those in `tried`, or `None` if no
-    /// worker or host can take it.
-    pub(crate) fn next_target(&self, request: &Request, tried: &BTreeSet<Name>) -> Option<Target> {
+    /// The next target of a request other than those tried, or `None` if no worker or
+    /// host can take it.
+    pub(crate) fn next_target(&self, request: &Request, attempts: &Attempts) -> Option<Target> {
         let view = self.node.view.borrow();
         let is_allowed_here = request.route.allows_region(&self.node.settings.region);
         let mut candidates =
-            if is_allowed_here { self.candidates(&view, request, tried) } else { Vec::new() };
+            if is_allowed_here { self.candidates(&view, request, attempts) } else { Vec::new() };
         let draw = self.dispatch.borrow_mut().rng.random();
         choose::order(&mut candidates, request.affinity_key, draw);
         if request.origin == Origin::Caller
-            && tried.is_empty()
+            && attempts.tried.is_empty()
+            && attempts.version_constraint == VersionConstraint::Any
             && let Some(target) = self.better_remote_target(&view, request)
         {
             return Some(target);
@@ -66,7 +71,7 @@
             return Some(target);
         }
         if request.origin == Origin::Caller
-            && let Some(target) = self.remote_target(&view, request, tried, None, "remote")
+            && let Some(target) = self.remote_target(&view, request, attempts, None, "remote")
         {
             return Some(target);
         }
@@ -83,7 +88,7 @@
         if !request.route.allows_region(region) {
             return view.workers.ready(&request.service).next().is_some();
         }
-        let candidates = self.candidates(view, request, &BTreeSet::new());
+        let candidates = self.candidates(view, request, &Attempts::default());
         start_wait::has_free_slot(&candidates, view.hosts.entry_names_in(region).len())
     }
 
@@ -91,14 +96,15 @@
         &self,
         view: &FleetView,
         request: &Request,
-        tried: &BTreeSet<Name>,
+        attempts: &Attempts,
     ) -> Vec<Candidate> {
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
         let region = &self.node.settings.region;
         let usable = view.workers.ready(&request.service).filter(|entry| {
             let report = &entry.report;
-            !tried.contains(&report.id)
+            !attempts.tried.contains(&report.id)
+                && attempts.version_constraint.allows(report.version.as_ref())
                 && self.node.settings.region_of(&report.data_centre) == Some(region)
                 && !view.control.evacuated.contains(&report.data_centre)
         });
@@ -189,7 +195,7 @@
             SpillReason::CachedPrefix => "keeper",
             SpillReason::Load => "spill",
         };
-        self.remote_target(view, request, &BTreeSet::new(), Some(&region), reason)
+        self.remote_target(view, request, &Attempts::default(), Some(&region), reason)
     }
 
     /// Loads of the other regions that may serve a request, as far as they are known.
@@ -259,7 +265,7 @@
         &self,
         view: &FleetView,
         request: &Request,
-        tried: &BTreeSet<Name>,
+        attempts: &Attempts,
         only: Option<&Name>,
         reason: &'static str,
     ) -> Option<Target> {
@@ -269,6 +275,7 @@
         let serving_regions: BTreeSet<&Name> = view
             .workers
             .ready(&request.service)
+            .filter(|entry| attempts.version_constraint.allows(entry.report.version.as_ref()))
             .filter(|entry| !view.control.evacuated.contains(&entry.report.data_centre))
             .filter_map(|entry| settings.region_of(&entry.report.data_centre))
             .filter(|region| **region != settings.region && request.route.allows_region(region))
@@ -278,7 +285,7 @@
         let hosts: Vec<&FleetHost> = serving_regions
             .into_iter()
             .flat_map(|region| view.hosts.ready_entries_in(now_ms, region))
-            .filter(|host| !tried.contains(&host.name))
+            .filter(|host| !attempts.tried.contains(&host.name))
             .filter(|host| dispatch.degradation(now_ms, &host.name) == Degradation::None)
             .collect();
         if hosts.is_empty() {
@@ -289,7 +296,7 @@
             name: host.name.clone(),
             address: host.forward_address.parse().ok()?,
             is_host: true,
-            version: None,
+            version: attempts.version_constraint.required().cloned(),
             connection_limit: MAX_HOST_CONNECTIONS,
             reason,
         })
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use anvillift_fleet::stream_origin::OriginFacts;
 use anvillift_fleet::{
     ConfigurationError, FleetConfiguration, HostTable, HostTableSettings, RegionLoads, RouteTable,
-    WorkerTable, document,
+    StreamKey, StreamVersions, WorkerTable, document,
 };
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
@@ -43,6 +44,40 @@
     /// Configuration decoded from `control`; `None` until one has been received.
     pub(crate) configuration: Option<Arc<FleetConfiguration>>,
     pub(crate) routes: RouteTable,
+    /// Versions that began the streams that this host has relayed or was told of.
+    pub(crate) streams: StreamVersions,
+    /// Time for which a stream may be resumed after its start; `None` without a
+    /// configuration.
+    pub(crate) stream_retention_ms: Option<u64>,
+    started_ms: u64,
+}
+
+impl FleetView {
+    /// The version that must have begun every recent stream of a service, or `None`
+    /// if there may have been another one.
+    pub(crate) fn certain_version(&self, service: &str) -> Option<Name> {
+        let facts = OriginFacts {
+            workers: &self.workers,
+            hosts: &self.hosts,
+            now_ms: clock::now_ms(),
+            started_ms: self.started_ms,
+            retention_ms: self.stream_retention_ms,
+        };
+        facts.certain_version(service)
+    }
+
+    /// The version that began a stream of a service, as far as this host can tell.
+    pub(crate) fn version_of_stream(&self, stream: StreamKey, service: &str) -> Option<Name> {
+        let recorded = self.streams.version(stream).cloned();
+        recorded.or_else(|| self.certain_version(service))
+    }
+
+    /// Forgets streams that can't be resumed any more.
+    pub(crate) fn remove_old_streams(&mut self, now_ms: u64) {
+        if let Some(retention_ms) = self.stream_retention_ms {
+            self.streams.remove_older(now_ms, retention_ms);
+        }
+    }
 }
 
 /// The part of a process that entry and core hosts share.
@@ -90,6 +125,7 @@
             operator_address: address_text(settings.operator_address),
             forward_address: address_text(is_entry.then(|| settings.forward_address())),
             storage_id,
+            remembers_streams: true,
         };
         let mut hosts = HostTable::new(table_settings);
         hosts.merge(clock::now_ms(), own_host.clone(), true);
@@ -100,6 +136,9 @@
             control: anvillift_fleet::ControlMachine::default().state().clone(),
             configuration: None,
             routes: RouteTable::default(),
+            streams: StreamVersions::default(),
+            stream_retention_ms: None,
+            started_ms: clock::now_ms(),
         };
         let seeds = RefCell::new(settings.seed_names());
         Rc::new(Self {
@@ -236,6 +275,8 @@
         if control.version > 0 {
             match decoded {
                 Ok(configuration) => {
+                    let retention_ms = configuration.stream_retention_ms();
+                    view.stream_retention_ms = view.stream_retention_ms.max(Some(retention_ms));
                     view.routes = RouteTable::new(&configuration);
                     view.configuration = Some(Arc::new(configuration));
                 }
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -56,6 +56,7 @@
     NoUpstream = 1304, 503, NotRun, "No upstream can take the request";
     Draining = 1305, 503, NotRun, "The host is draining";
     NotReady = 1306, 503, NotRun, "The host is not ready";
+    StreamUnknown = 1307, 503, NotRun, "It is not known which version began the stream";
     UpstreamUnreachable = 1401, 502, NotRun, "The upstream could not be reached";
     UpstreamFailed = 1402, 502, Unknown, "The upstream broke off";
     UpstreamTimeout = 1403, 504, Unknown, "The upstream did not answer in time";
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -73,6 +73,7 @@
     RequestUnreadable = 2709, "info", "A request could not be read";
     RequestWaitedForState = 2710, "info", "A request waited for state that its host had not received yet";
     PromptRejected = 2711, "info", "A prompt was rejected because of the backlog of its region";
+    StreamLookedUp = 2712, "info", "The version that began a resumed stream was looked up";
 }
 
 impl Event {
