Answer "not run" only where the ledger has ruled out a run under the key

Cause: without a verdict of the ledger an attempt knows only that it sent nothing itself, and answered that as the outcome of the command. The same for a key older than the retention, whose record is gone (1504), for a group that was formed anew, for commands that could not be forwarded to their home, and for refusals before the key is looked up (1302, 1305 and others). Class: the outcome of one attempt stated as the outcome of the key.

Change: these answers have the outcome unknown, their status and Retry-After as before, and the detail "this request was not sent; an earlier one under the same key may have run". not_run remains where the ledger gave the key to this attempt, which then sent nothing, and for requests that could never run.

--- a/crates/anvillift-gateway/src/callers/caller_request.rs
+++ b/crates/anvillift-gateway/src/callers/caller_request.rs
@@ -38,8 +38,10 @@
 pub(crate) async fn handle(gateway: &Arc<Gateway>, incoming: CallerRequest) -> Answer {
     let id = Name::from(Uuid::now_v7().to_string());
     let service = incoming.service.clone();
+    let has_key = incoming.headers.contains_key(headers::IDEMPOTENCY_KEY);
     let mut answer = match run(gateway, &id, incoming).await {
         Ok(answer) => answer,
+        Err(refusal) if has_key => refusal.before_lookup().answer(Some(&id)),
         Err(refusal) => refusal.answer(Some(&id)),
     };
     exporter::count_request(gateway, &service, &answer);
--- a/crates/anvillift-gateway/src/commands/dispatch.rs
+++ b/crates/anvillift-gateway/src/commands/dispatch.rs
@@ -313,9 +313,14 @@
 }
 
 fn refusal(code: Code, outcome: Outcome, retry_after_ms: u64) -> Refusal {
-    let may_repeat = outcome == Outcome::NotRun || code == Code::CommandInProgress;
+    let may_repeat = outcome == Outcome::NotRun
+        || matches!(code, Code::CommandInProgress | Code::LedgerUnavailable);
     let final_codes = [Code::CommandMismatch, Code::CommandExpired];
     let retry_after_ms =
         Some(retry_after_ms).filter(|_| may_repeat && !final_codes.contains(&code));
-    Refusal { outcome, retry_after_ms, ..Refusal::from(code) }
+    let refusal = Refusal { outcome, retry_after_ms, ..Refusal::from(code) };
+    match code {
+        Code::LedgerUnavailable | Code::CommandExpired => refusal.of_unsent_command(),
+        _ => refusal,
+    }
 }
--- a/crates/anvillift-gateway/src/commands/home.rs
+++ b/crates/anvillift-gateway/src/commands/home.rs
@@ -51,24 +51,23 @@
 /// certainly did not run.
 pub(super) async fn forward(gateway: &Arc<Gateway>, mut request: Request, home: Name) -> Answer {
     request.home = Some(home.clone());
-    let mut refusal = Refusal::retry_after(Code::LedgerUnavailable, RETRY_AFTER_MS);
+    let mut refusal =
+        Refusal::retry_after(Code::LedgerUnavailable, RETRY_AFTER_MS).of_unsent_command();
     for target in targets(gateway, &request, &home) {
         let attempt = Name::from(Uuid::now_v7().to_string());
         let failure = match remote::attempt(gateway, &request, &target, &attempt).await {
             Ok(answer) => return answer,
             Err(failure) => failure,
         };
-        refusal = failure.refusal();
+        refusal = failure.refusal().before_lookup();
         let can_try_next = matches!(failure.code, Code::Draining | Code::NotReady | Code::LinkLost);
+        if failure.is_not_run() && refusal.retry_after_ms.is_none() {
+            refusal.retry_after_ms = Some(RETRY_AFTER_MS);
+        }
         if !(failure.is_not_run() && can_try_next) {
             break;
         }
     }
-    if refusal.outcome == anvillift_schema::public::Outcome::NotRun
-        && refusal.retry_after_ms.is_none()
-    {
-        refusal.retry_after_ms = Some(RETRY_AFTER_MS);
-    }
     refusal.answer(Some(&request.id))
 }
 
--- a/crates/anvillift-gateway/src/problem.rs
+++ b/crates/anvillift-gateway/src/problem.rs
@@ -9,6 +9,9 @@
 use crate::headers;
 
 const MS_PER_S: u64 = 1000;
+/// Detail of a refusal that says nothing about earlier requests under the same key.
+const UNSENT_COMMAND_DETAIL: &str =
+    "this request was not sent; an earlier one under the same key may have run";
 
 /// Reason why the gateway answers a request itself, instead of an upstream.
 #[derive(Clone, Debug)]
@@ -43,6 +46,22 @@
         Self { retry_after_ms: Some(retry_after_ms), ..Self::from(code) }
     }
 
+    /// The refusal of a command whose key was not looked up in the ledger. If it may be
+    /// repeated, it may also be a repetition itself, so its outcome is unknown.
+    pub(crate) fn before_lookup(self) -> Self {
+        let may_be_repeated = matches!(self.code.status(), 421 | 429 | 502 | 503);
+        if self.outcome != Outcome::NotRun || !may_be_repeated {
+            return self;
+        }
+        Self { outcome: Outcome::Unknown, ..self }.of_unsent_command()
+    }
+
+    /// States that this request did not send the command, unless there is another detail.
+    pub(crate) fn of_unsent_command(self) -> Self {
+        let detail = self.detail.unwrap_or_else(|| UNSENT_COMMAND_DETAIL.to_owned());
+        Self { detail: Some(detail), ..self }
+    }
+
     /// Converts the refusal to problem details.
     pub(crate) fn problem(&self, request_id: Option<&Name>) -> Problem {
         Problem {
--- a/crates/anvillift-ledger/src/attempt.rs
+++ b/crates/anvillift-ledger/src/attempt.rs
@@ -2,7 +2,8 @@
 //!
 //! The host reports each event to its [`Attempt`] and performs the returned
 //! [`Step`]. No other host can send the command of an attempt, and the attempt
-//! answers `not_run` only after its own host has decided not to send it. A host
+//! answers `not_run` only after its own host has decided not to send it, and only if
+//! the ledger has shown that no earlier attempt under the same key may have run it. A host
 //! that was suspended after its reservation until the dispatch deadline passed
 //! detects this on its monotonic clock and sends nothing.
 
@@ -96,7 +97,8 @@
     Refused {
         /// Result code that names the cause.
         code: Code,
-        /// Whether the command ran, did not run, or may have run.
+        /// Whether the command of the key ran, did not run, or may have run, in this or
+        /// an earlier attempt.
         outcome: Outcome,
     },
 }
@@ -156,12 +158,12 @@
             }
             Ok(LedgerVerdict::Unknown(_)) => refuse(Code::CommandUnknown, Outcome::Unknown, None),
             Ok(LedgerVerdict::Mismatch(_)) => refuse(Code::CommandMismatch, Outcome::NotRun, None),
-            Ok(LedgerVerdict::Expired(_)) => refuse(Code::CommandExpired, Outcome::NotRun, None),
+            Ok(LedgerVerdict::Expired(_)) => refuse(Code::CommandExpired, Outcome::Unknown, None),
             Err(ProposalError::Rejected) | Ok(LedgerVerdict::Full(_)) => {
-                refuse(Code::LedgerUnavailable, Outcome::NotRun, None)
+                refuse(Code::LedgerUnavailable, Outcome::Unknown, None)
             }
             Err(ProposalError::Unknown) | Ok(_) => {
-                refuse(Code::LedgerUnavailable, Outcome::NotRun, Some(self.release_operation()))
+                refuse(Code::LedgerUnavailable, Outcome::Unknown, Some(self.release_operation()))
             }
         }
     }
--- a/crates/anvillift-ledger/tests/schedules.rs
+++ b/crates/anvillift-ledger/tests/schedules.rs
@@ -53,6 +53,9 @@
     /// Attempts whose command is in flight to the upstream.
     in_flight: Vec<usize>,
     answers: BTreeMap<usize, Answer>,
+    /// Attempts that were answered "not run" though their command ran, or was under way,
+    /// in another attempt under the same key.
+    false_answers: Vec<usize>,
     /// Starts and ends of attempts, in order.
     events: Vec<(usize, Event)>,
 }
@@ -104,6 +107,7 @@
             runs: BTreeMap::new(),
             in_flight: Vec::new(),
             answers: BTreeMap::new(),
+            false_answers: Vec::new(),
             events: Vec::new(),
         }
     }
@@ -279,6 +283,11 @@
         let Step::Finish { answer, ledger_update } = step else {
             panic!("attempt {number} sends its command after its end")
         };
+        if matches!(answer, Answer::Refused { outcome: Outcome::NotRun, .. })
+            && self.may_have_run(self.attempts[number].0)
+        {
+            self.false_answers.push(number);
+        }
         self.answers.insert(number, answer);
         self.events.push((number, Event::End));
         if let Some(operation) = ledger_update {
@@ -286,6 +295,12 @@
         }
     }
 
+    /// Whether the command of a key has run or is on its way to the upstream.
+    fn may_have_run(&self, key: usize) -> bool {
+        let is_in_flight = |number: &usize| self.attempts[*number].0 == key;
+        self.runs.contains_key(&key) || self.in_flight.iter().any(is_in_flight)
+    }
+
     /// Effect of an attempt on its key, or `None` if it had none.
     fn effect(&self, number: usize) -> Option<Effect> {
         let key = self.attempts[number].0;
@@ -334,6 +349,11 @@
                 "the command of key {key} was run by the attempts {runs:?}"
             );
         }
+        prop_assert!(
+            self.false_answers.is_empty(),
+            "the attempts {:?} were answered \"not run\", but the command of their key ran",
+            self.false_answers
+        );
         for (number, answer) in &self.answers {
             let key = self.attempts[*number].0;
             let runs = self.runs.get(&key).map(Vec::as_slice).unwrap_or_default();
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -65,8 +65,8 @@
     CommandUnknown = 1501, 409, Unknown, "The command may have run";
     CommandInProgress = 1502, 409, Unknown, "The command is being run";
     CommandMismatch = 1503, 422, NotRun, "The idempotency key was used with another request";
-    CommandExpired = 1504, 410, NotRun, "The idempotency key is older than the retention";
-    LedgerUnavailable = 1505, 503, NotRun, "The ledger has no majority";
+    CommandExpired = 1504, 410, Unknown, "The idempotency key is older than the retention";
+    LedgerUnavailable = 1505, 503, Unknown, "The ledger has no majority";
     DispatchTooLate = 1506, 503, NotRun, "The dispatch deadline passed before sending";
     CommandRan = 1507, 409, Ran, "The command ran, and its answer is no longer kept";
     RevisionConflict = 1601, 409, NotRun, "The expected revision is stale";
