--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -1,5 +1,6 @@
 //! Tests that commands run at most once despite failures of hosts, links and upstreams.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use anvillift_bench::plain::{Fault, PlainFaults, RunningPlain};
@@ -20,6 +21,8 @@
 /// Requests in flight while a host runs one command: that of the caller, and the command itself.
 const CALLER_AND_COMMAND: u32 = 2;
 const PAUSE: Duration = Duration::from_millis(100);
+/// Answer to a command while the ledger has no leader.
+const LEDGER_UNAVAILABLE: (u16, Outcome) = (1505, Outcome::Unknown);
 /// Duration for which a host is frozen, which is longer than the dispatch deadline of the test and
 /// shorter than an election.
 const FREEZE_DURATION: Duration = Duration::from_millis(700);
@@ -131,16 +134,55 @@
     service.set_faults(PlainFaults { delay_ms: 30, ..PlainFaults::default() });
     for round in 0..20 {
         let key = format!("both-{round}");
-        let (left, right) = tokio::join!(
-            send_command(&cluster, "oriente-1", &key),
-            send_command(&cluster, "altiplano-2", &key)
-        );
-        assert_eq!(count_runs(&service, &key), 1, "{left:?} {right:?}");
-        let result = [left.expect("an answer"), right.expect("an answer")];
+        let mut result = send_through_both(&cluster, &key).await;
+        let began = Instant::now();
+        // Without a leader of the ledger neither host runs the command, and both say so.
+        while result == [LEDGER_UNAVAILABLE; 2] && began.elapsed() < RETRY_PERIOD {
+            assert_eq!(count_runs(&service, &key), 0, "{result:?}");
+            time::sleep(PAUSE).await;
+            result = send_through_both(&cluster, &key).await;
+        }
+        assert_eq!(count_runs(&service, &key), 1, "{result:?}");
         assert!(result.contains(&(0, Outcome::Ran)), "{result:?}");
     }
 }
 
+/// Sends a command through two hosts at once.
+async fn send_through_both(cluster: &Cluster, key: &str) -> [(u16, Outcome); 2] {
+    let (left, right) = tokio::join!(
+        send_command(cluster, "oriente-1", key),
+        send_command(cluster, "altiplano-2", key)
+    );
+    [left.expect("an answer"), right.expect("an answer")]
+}
+
+/// Two hosts send a command at once while the ledger has no leader, since two of its
+/// three voters are frozen. Both refuse, nothing runs, and the command runs once later.
+#[tokio::test(flavor = "multi_thread")]
+async fn command_sent_through_two_hosts_without_a_leader_runs_once_later() {
+    let (mut cluster, service) = cluster_with_service().await;
+    for host in ["oriente-2", "altiplano-1"] {
+        cluster.freeze(host);
+    }
+    let refused = Cell::new(0);
+    wait::until("both hosts refuse", async || {
+        refused.set(refused.get() + 1);
+        let key = format!("leaderless-{}", refused.get());
+        send_through_both(&cluster, &key).await == [LEDGER_UNAVAILABLE; 2]
+    })
+    .await;
+    let key = format!("leaderless-{}", refused.get());
+    assert_eq!(count_runs(&service, &key), 0);
+    for host in ["oriente-2", "altiplano-1"] {
+        cluster.thaw(host);
+    }
+    wait::until("the command runs", async || {
+        send_through_both(&cluster, &key).await.contains(&(0, Outcome::Ran))
+    })
+    .await;
+    assert_eq!(count_runs(&service, &key), 1);
+}
+
 #[rstest]
 #[case::closed_on_arrival(Fault::CloseOnArrival, 0)]
 #[case::closed_after_the_run(Fault::RunThenClose, 1)]
