Send nothing to workers that say they leave or ask for a pause

Workers now say in their answers that they are leaving (Server-Leaving), and with 503 that they want no requests for a time (Retry-After). Neither was read, so a worker that only its own answers declared as leaving went on getting requests.

Change: WorkerNotices keeps both for each start of a worker, from the head of each answer of a worker, also rejections, broken ones and late ones on a kept connection. eligibility::check decides in one place whether a worker may get a request (reports, evacuation, earlier attempts, version, notices), and every way to a worker asks it. While all workers of a service pause, a request goes to another region that it may go to, or is refused at once (1308) with a time to come back that lies after the end of a pause and is spread over a second. Notices end with the start of the worker; each pause is kept whole. Gauges count leaving and paused workers, and events 2713 to 2715 name them; a pause above a minute is a warning.

--- /dev/null
+++ b/crates/anvillift-fleet/src/worker_notices.rs
@@ -0,0 +1,84 @@
+//! What workers have told this host in their answers: that they are leaving, or that
+//! they want no requests for a time.
+//!
+//! A notice belongs to one start of a worker. The same worker started anew, or another
+//! one at its address, begins without it.
+
+use std::collections::BTreeMap;
+
+use anvillift_schema::name::Name;
+
+use crate::worker_table::WorkerTable;
+
+/// One start of a worker.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WorkerStart {
+    /// Id of the worker.
+    pub id: Name,
+    /// Start time on the worker's own clock, in milliseconds.
+    pub born_ms: u64,
+}
+
+/// What a worker has said about new requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WorkerNotice {
+    /// Time of the first answer that said that the worker is leaving.
+    pub leaving_since_ms: Option<u64>,
+    /// Time of the last answer that asked for a pause.
+    pub pause_asked_ms: u64,
+    /// Time until which the worker wants no requests; 0 if it never asked for a pause.
+    pub paused_until_ms: u64,
+}
+
+impl WorkerNotice {
+    /// Whether the worker wants no requests now.
+    pub fn is_paused(&self, now_ms: u64) -> bool {
+        self.paused_until_ms > now_ms
+    }
+}
+
+/// Notices by worker.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerNotices {
+    notices: BTreeMap<WorkerStart, WorkerNotice>,
+}
+
+impl WorkerNotices {
+    /// Records an answer that says that the worker is leaving. Returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, now_ms: u64, worker: &WorkerStart) -> bool {
+        let notice = self.notices.entry(worker.clone()).or_default();
+        let is_new = notice.leaving_since_ms.is_none();
+        notice.leaving_since_ms.get_or_insert(now_ms);
+        is_new
+    }
+
+    /// Records an answer that asks for a pause. Of overlapping pauses the one that ends
+    /// last counts, since the worker has asked for each of them.
+    pub fn record_pause(&mut self, now_ms: u64, worker: &WorkerStart, pause_ms: u64) {
+        let notice = self.notices.entry(worker.clone()).or_default();
+        notice.pause_asked_ms = now_ms;
+        notice.paused_until_ms = notice.paused_until_ms.max(now_ms.saturating_add(pause_ms));
+    }
+
+    /// What a worker has said; the default if it has said nothing.
+    pub fn get(&self, worker: &WorkerStart) -> WorkerNotice {
+        self.notices.get(worker).copied().unwrap_or_default()
+    }
+
+    /// Removes the notices of workers that have left or started anew, and of pauses
+    /// that are over.
+    pub fn remove_stale(&mut self, now_ms: u64, workers: &WorkerTable) {
+        self.notices.retain(|worker, notice| {
+            let entry = workers.get(&worker.id);
+            let is_current = entry
+                .is_some_and(|entry| entry.report.born_ms == worker.born_ms && !entry.has_left());
+            is_current && (notice.leaving_since_ms.is_some() || notice.is_paused(now_ms))
+        });
+    }
+
+    /// All notices.
+    pub fn iter(&self) -> impl Iterator<Item = (&WorkerStart, &WorkerNotice)> {
+        self.notices.iter()
+    }
+}
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -11,6 +11,7 @@
 use anvillift_schema::name::Name;
 
 use crate::version_history::VersionHistory;
+use crate::worker_notices::WorkerStart;
 
 /// Time after which a worker without reports is removed, in milliseconds.
 const REMOVE_AFTER_MS: u64 = 120_000;
@@ -47,6 +48,16 @@
         self.report.state == FleetWorkerState::Ready
     }
 
+    /// The start of the worker that its report describes.
+    pub fn start(&self) -> WorkerStart {
+        WorkerStart { id: self.report.id.clone(), born_ms: self.report.born_ms }
+    }
+
+    /// Whether the worker has left, or another one has its address.
+    pub fn has_left(&self) -> bool {
+        self.report.state == FleetWorkerState::Left
+    }
+
     /// The report for a host that has no reports yet, with the remaining cold time
     /// as of now. A worker that has missed a report may have restarted, so it is
     /// reported as cold for a while.
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod event_position;
 mod health;
 mod in_flight;
+mod notices;
 mod prefixes;
 mod region_contact;
 mod retries;
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -6,6 +6,9 @@
 use anvillift_schema::fleet::FleetWorker;
 use anvillift_schema::name::Name;
 
+/// Value of the field by which a worker says that it is leaving.
+pub(crate) const LEAVING_VALUE: &str = "1";
+
 /// Header names that the platform uses for fields that this crate reads or sets.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -27,6 +30,8 @@
     pub last_event_id: &'static str,
     /// Id of the request that began the stream which a request resumes.
     pub resumes: &'static str,
+    /// Set to [`LEAVING_VALUE`] on each answer of a worker that is leaving.
+    pub leaving: &'static str,
     /// Fields that are removed from callers' requests, since only this system
     /// may set them.
     pub system_only: &'static [&'static str],
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -122,7 +122,8 @@
         let id_field = self.node.dialect.headers.request_id;
         let read = match lease.connection() {
             Ok(connection) => {
-                send_and_read(connection, &bytes, &mut sent_bytes, request, id_field).await
+                let on_head = |head: &ResponseHead| self.record_notices(request, target, head);
+                send_and_read(connection, &bytes, &mut sent_bytes, request, id_field, on_head).await
             }
             Err(error) => Err(error.into()),
         };
@@ -234,17 +235,19 @@
 /// Writes a request and reads the head of the response at the same time, since the
 /// response may come before the entire request is written. A late response to an
 /// earlier request, recognised by its request id, is skipped, as are interim
-/// responses.
+/// responses. `on_head` gets the head of each.
 async fn send_and_read(
     connection: &mut Connection,
     bytes: &[u8],
     sent_bytes: &mut usize,
     request: &Request,
     id_field: &str,
+    on_head: impl Fn(&ResponseHead),
 ) -> Result<ResponseHead, HttpError> {
     *sent_bytes += connection.try_write(bytes)?;
     loop {
         while let Some(head) = connection.parse_response(MAX_HEAD_BYTES)? {
+            on_head(&head);
             let is_interim = (100..200).contains(&head.status);
             let is_for_other_request =
                 head.headers.get(id_field).is_some_and(|id| id != request.id);
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -6,12 +6,13 @@
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
     AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, PrefixCounts, Prompt,
-    PromptSpeed, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings,
+    PromptSpeed, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings, WorkerNotices,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use crate::clock;
 use crate::node::FleetView;
 
 /// State on which this host bases the choice of targets.
@@ -25,6 +26,8 @@
     pub(crate) prefix_counts: BTreeMap<Name, PrefixCounts>,
     /// Speed at which the workers of this region process prompts, by service.
     pub(crate) prompt_speeds: BTreeMap<Name, PromptSpeed>,
+    /// What workers have said in their answers.
+    pub(crate) notices: WorkerNotices,
     in_flight_table: InFlightTable,
     /// Timeouts for the response head, from the recent latencies of each route.
     pub(crate) answer_timeouts: AnswerTimeouts,
@@ -41,6 +44,7 @@
             rng: SmallRng::seed_from_u64(seed),
             prefix_counts: BTreeMap::new(),
             prompt_speeds: BTreeMap::new(),
+            notices: WorkerNotices::default(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
@@ -133,6 +137,7 @@
         let is_known =
             |name: &Name| view.workers.get(name).is_some() || view.hosts.get(name).is_some();
         self.health.retain(|name, _| is_known(name));
+        self.notices.remove_stale(clock::now_ms(), &view.workers);
         if let Some(configuration) = &view.configuration {
             let routes = &configuration.routes;
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -71,7 +71,7 @@
                 } else {
                     FinalOutcome::Refused
                 };
-                let failure = RequestFailure::of(end);
+                let failure = self.failure_of(request, &attempts, end);
                 return self.reply_failure(caller, request, &attempts, failure, keep_alive).await;
             };
             if attempts.attempt_count == 0 && !target.is_host && self.is_overloaded(request) {
@@ -104,7 +104,8 @@
                 AttemptOutcome::NoResponse(end, reason) => {
                     let end =
                         self.finish_without_response(request, &mut attempts, started, end, &reason);
-                    if let Some(failure) = end.map(RequestFailure::of) {
+                    if let Some(end) = end {
+                        let failure = self.failure_of(request, &attempts, end);
                         return self
                             .reply_failure(caller, request, &attempts, failure, keep_alive)
                             .await;
@@ -114,6 +115,20 @@
         }
     }
 
+    /// The failure that corresponds to the final decision about a request.
+    fn failure_of(
+        &self,
+        request: &Request,
+        attempts: &Attempts,
+        end: FinalOutcome,
+    ) -> RequestFailure {
+        match end {
+            FinalOutcome::Refused => self.refusal(request, attempts),
+            FinalOutcome::TimedOut => RequestFailure::TIMED_OUT,
+            FinalOutcome::Unknown | FinalOutcome::PassOn => RequestFailure::OUTCOME_UNKNOWN,
+        }
+    }
+
     /// Counts an attempt that is about to be made as in flight.
     pub(crate) fn start_attempt(
         &self,
@@ -286,6 +301,7 @@
         event = Event::AttemptEnded.number(), id = request.id.as_str(),
         route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason,
         outcome = outcome, reason = reason, waited_ms = clock::now_ms() - began_ms,
+        worker_born_ms = target.born_ms,
         worker_version = target.version.as_ref().map_or("", Name::as_str),
         resumes = request.resumes.as_ref().map_or("", Name::as_str),
         age_ms = request.age_ms(), left_ms = request.remaining_ms(), version = request.version;
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -3,7 +3,7 @@
 //! [`front`] serves the connections of callers and of other entry hosts that
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
 //! makes attempts at the targets that [`target`] chooses, unless [`overload`]
-//! rejects the request; [`relay`] streams the response to the caller, and [`resume`]
+//! rejects the request, and [`notices`] keeps what workers say in their answers; [`relay`] streams the response to the caller, and [`resume`]
 //! continues a broken stream at another worker, of the version that
 //! [`stream_version`] has found. The policies behind these decisions
 //! are in `anvillift-fleet`.
@@ -13,6 +13,7 @@
 mod dispatch_state;
 mod forward;
 mod front;
+mod notices;
 mod overload;
 mod pool;
 mod relay;
@@ -293,6 +294,7 @@
                 view.remove_old_streams(now_ms);
                 self.dispatch.borrow_mut().remove_stale(&view);
             }
+            self.export_notice_metrics();
             metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
         }
     }
--- /dev/null
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -0,0 +1,143 @@
+//! Notices of workers: reads from each answer whether the worker is leaving or wants a
+//! pause, and answers requests for which every worker has asked for a pause.
+
+use std::collections::BTreeSet;
+
+use anvillift_fleet::eligibility::{EligibilityFacts, Ineligible};
+use anvillift_fleet::{VersionConstraint, WorkerStart, eligibility, retry_after};
+use anvillift_http::ResponseHead;
+use anvillift_schema::event::Event;
+use rand::Rng;
+
+use crate::clock;
+use crate::dialect::LEAVING_VALUE;
+use crate::entry::Entry;
+use crate::entry::forward::Attempts;
+use crate::entry::request::Request;
+use crate::entry::request_failure::RequestFailure;
+use crate::entry::target::Target;
+use crate::node::FleetView;
+
+/// Pause from which on operators are warned, in milliseconds.
+const LONG_PAUSE_MS: u64 = 60_000;
+/// Time over which the callers that come back after a pause are spread, in milliseconds.
+const RETURN_SPREAD_MS: u64 = 1_000;
+/// Longest part of a malformed field that is logged, in bytes.
+const MAX_LOGGED_BYTES: usize = 64;
+
+impl Entry {
+    /// Records what the head of an answer says about new requests to its worker. The
+    /// head of another host's answer tells about a worker of that host's region.
+    pub(super) fn record_notices(&self, request: &Request, target: &Target, head: &ResponseHead) {
+        if target.is_host {
+            return;
+        }
+        let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
+        if head.headers.get(self.node.dialect.headers.leaving) == Some(LEAVING_VALUE) {
+            self.record_leaving(request, &worker);
+        }
+        if head.status == 503 && head.headers.contains("retry-after") {
+            self.record_pause(request, &worker, head);
+        }
+    }
+
+    fn record_leaving(&self, request: &Request, worker: &WorkerStart) {
+        let is_new = self.dispatch.borrow_mut().notices.record_leaving(clock::now_ms(), worker);
+        if is_new {
+            log::info!(
+                event = Event::WorkerSaysLeaving.number(), id = request.id.as_str(),
+                worker = worker.id.as_str(), born_ms = worker.born_ms;
+                "worker says that it is leaving; it gets no more requests from this host"
+            );
+        }
+    }
+
+    fn record_pause(&self, request: &Request, worker: &WorkerStart, head: &ResponseHead) {
+        let values = head.headers.all("retry-after").map(AsRef::as_ref);
+        let Some(pause_ms) = retry_after::pause_ms(values) else {
+            let value = head.headers.get("retry-after").unwrap_or("(not UTF-8)");
+            let value: String = value.chars().take(MAX_LOGGED_BYTES).collect();
+            log::warn!(
+                event = Event::PauseUnreadable.number(), id = request.id.as_str(),
+                worker = worker.id.as_str(), value = value;
+                "Retry-After of a worker is no number of seconds; ignored"
+            );
+            return;
+        };
+        self.dispatch.borrow_mut().notices.record_pause(clock::now_ms(), worker, pause_ms);
+        let level = if pause_ms > LONG_PAUSE_MS { log::Level::Warn } else { log::Level::Info };
+        log::log!(
+            level,
+            event = Event::WorkerAsksForPause.number(), id = request.id.as_str(),
+            worker = worker.id.as_str(), born_ms = worker.born_ms, pause_ms = pause_ms;
+            "worker wants no requests from this host for a time"
+        );
+    }
+
+    /// The answer to a request that certainly has not run and finds no worker. If
+    /// workers have asked for a pause, its caller is told to come back when one of them
+    /// takes requests again.
+    pub(super) fn refusal(&self, request: &Request, attempts: &Attempts) -> RequestFailure {
+        let view = self.node.view.borrow();
+        let remaining_ms = self.remaining_pauses_ms(&view, request, &attempts.version_constraint);
+        if remaining_ms.is_empty() {
+            return RequestFailure::NO_WORKER;
+        }
+        metrics::counter!("anvillift_rejected_for_pause_total").increment(1);
+        let mut dispatch = self.dispatch.borrow_mut();
+        let pause_ms = remaining_ms[dispatch.rng.random_range(0..remaining_ms.len())];
+        let spread_ms = dispatch.rng.random_range(0..=RETURN_SPREAD_MS);
+        RequestFailure::paused(pause_ms.saturating_add(spread_ms))
+    }
+
+    /// Whether workers in `view` could take a request if they had not asked for a pause.
+    pub(super) fn is_paused_by_workers(&self, view: &FleetView, request: &Request) -> bool {
+        !self.remaining_pauses_ms(view, request, &request.version_constraint).is_empty()
+    }
+
+    /// Remaining pauses of the workers that could take a request otherwise, in
+    /// milliseconds.
+    fn remaining_pauses_ms(
+        &self,
+        view: &FleetView,
+        request: &Request,
+        version_constraint: &VersionConstraint,
+    ) -> Vec<u64> {
+        let now_ms = clock::now_ms();
+        let dispatch = self.dispatch.borrow();
+        // A worker that has rejected this request counts, too.
+        let untried = BTreeSet::new();
+        let own_region = &self.node.settings.region;
+        let remaining_ms = |worker| {
+            let facts = EligibilityFacts {
+                now_ms,
+                worker,
+                notice: dispatch.notices.get(&worker.start()),
+                evacuated: &view.control.evacuated,
+                tried: &untried,
+                version_constraint,
+            };
+            match eligibility::check(&facts) {
+                Err(Ineligible::Paused { until_ms }) => Some(until_ms - now_ms),
+                _ => None,
+            }
+        };
+        let workers = self.ready_workers(view, request, own_region);
+        workers.into_iter().filter_map(remaining_ms).collect()
+    }
+
+    /// Exports how many workers are leaving and paused, as this host knows.
+    pub(super) fn export_notice_metrics(&self) {
+        let now_ms = clock::now_ms();
+        let dispatch = self.dispatch.borrow();
+        let (mut leaving, mut paused, mut paused_long) = (0_u32, 0_u32, 0_u32);
+        for (_, notice) in dispatch.notices.iter() {
+            leaving += u32::from(notice.leaving_since_ms.is_some());
+            paused += u32::from(notice.is_paused(now_ms));
+            paused_long += u32::from(notice.paused_until_ms > now_ms + LONG_PAUSE_MS);
+        }
+        metrics::gauge!("anvillift_workers_leaving").set(f64::from(leaving));
+        metrics::gauge!("anvillift_workers_paused").set(f64::from(paused));
+        metrics::gauge!("anvillift_workers_paused_long").set(f64::from(paused_long));
+    }
+}
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -1,6 +1,5 @@
 //! Answers to requests that get no response from a worker.
 
-use anvillift_fleet::retry_decision::FinalOutcome;
 use anvillift_schema::code::Code;
 use anvillift_schema::public::Outcome;
 use rand::Rng;
@@ -18,6 +17,8 @@
     /// Time after which a retry may succeed, in milliseconds; `None` if a retry
     /// would not help or might run the request twice.
     pub(crate) retry_after_ms: Option<u64>,
+    /// Whether that time already differs between callers.
+    pub(crate) is_spread: bool,
 }
 
 impl RequestFailure {
@@ -35,21 +36,17 @@
     pub(crate) const NO_ROUTE: Self = Self::permanent(Code::NotFound);
     pub(crate) const NO_REQUEST_ID: Self = Self::permanent(Code::MalformedRequest);
 
-    /// The failure that corresponds to the final decision about a request.
-    pub(crate) fn of(end: FinalOutcome) -> Self {
-        match end {
-            FinalOutcome::Refused => Self::NO_WORKER,
-            FinalOutcome::TimedOut => Self::TIMED_OUT,
-            FinalOutcome::Unknown | FinalOutcome::PassOn => Self::OUTCOME_UNKNOWN,
-        }
+    /// Every worker has asked for a pause; the time is already spread.
+    pub(crate) const fn paused(retry_after_ms: u64) -> Self {
+        Self { is_spread: true, ..Self::retryable(Code::UpstreamsPaused, retry_after_ms) }
     }
 
     const fn retryable(code: Code, retry_after_ms: u64) -> Self {
-        Self { code, retry_after_ms: Some(retry_after_ms) }
+        Self { code, retry_after_ms: Some(retry_after_ms), is_spread: false }
     }
 
     const fn permanent(code: Code) -> Self {
-        Self { code, retry_after_ms: None }
+        Self { code, retry_after_ms: None, is_spread: false }
     }
 }
 
@@ -63,6 +60,7 @@
             reply.headers.push(NOT_RUN_HEADER, "1");
         }
         match failure.retry_after_ms {
+            Some(retry_after_ms) if failure.is_spread => reply.retry_after_ms(retry_after_ms),
             Some(retry_after_ms) => {
                 // Jitter keeps callers that are rejected at the same time from retrying together.
                 let jitter = self.dispatch.borrow_mut().rng.random_range(0.75..1.5);
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -9,9 +9,10 @@
 use std::net::SocketAddr;
 
 use anvillift_fleet::choose::{Candidate, Degradation};
+use anvillift_fleet::eligibility::EligibilityFacts;
 use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
 use anvillift_fleet::{
-    LimitSharers, VersionConstraint, WorkerEntry, choose, spill, start_wait, subset,
+    LimitSharers, VersionConstraint, WorkerEntry, choose, eligibility, spill, start_wait, subset,
 };
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
@@ -40,6 +41,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the target is an entry host rather than a worker.
     pub(crate) is_host: bool,
+    /// Start time of the worker, by which its notices are kept; 0 for a host.
+    pub(crate) born_ms: u64,
     /// Version of the worker's software, if its reports name it; for a host the version
     /// of which it must choose a worker, if there is one.
     pub(crate) version: Option<Name>,
@@ -103,10 +106,16 @@
         let region = &self.node.settings.region;
         let usable = view.workers.ready(&request.service).filter(|entry| {
             let report = &entry.report;
-            !attempts.tried.contains(&report.id)
-                && attempts.version_constraint.allows(report.version.as_ref())
-                && self.node.settings.region_of(&report.data_centre) == Some(region)
-                && !view.control.evacuated.contains(&report.data_centre)
+            let facts = EligibilityFacts {
+                now_ms,
+                worker: entry,
+                notice: dispatch.notices.get(&entry.start()),
+                evacuated: &view.control.evacuated,
+                tried: &attempts.tried,
+                version_constraint: &attempts.version_constraint,
+            };
+            self.node.settings.region_of(&report.data_centre) == Some(region)
+                && eligibility::check(&facts).is_ok()
         });
         let usable: Vec<&WorkerEntry> = usable.collect();
         let hosts = view.hosts.entry_names_in(region);
@@ -161,6 +170,7 @@
             name: chosen.worker.clone(),
             address,
             is_host: false,
+            born_ms: report.born_ms,
             version: report.version.clone(),
             connection_limit: connection_share.max(2),
             reason,
@@ -296,6 +306,7 @@
             name: host.name.clone(),
             address: host.forward_address.parse().ok()?,
             is_host: true,
+            born_ms: 0,
             version: attempts.version_constraint.required().cloned(),
             connection_limit: MAX_HOST_CONNECTIONS,
             reason,
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -74,6 +74,9 @@
     RequestWaitedForState = 2710, "info", "A request waited for state that its host had not received yet";
     PromptRejected = 2711, "info", "A prompt was rejected because of the backlog of its region";
     StreamLookedUp = 2712, "info", "The version that began a resumed stream was looked up";
+    WorkerSaysLeaving = 2713, "info", "A worker said in an answer that it is leaving";
+    WorkerAsksForPause = 2714, "info", "A worker asked for a pause";
+    PauseUnreadable = 2715, "warn", "A worker asked for a pause that cannot be read";
 }
 
 impl Event {
