Split the files of an entry host that hold several types

Change: one type a file (UpstreamResponse, ResponseWriter, Attempts, FleetView), the frames, the loads of regions and the log of answers in modules of their own; TargetReason and AnswerOutcome are enums whose display is what was logged before. No logic changes.

--- a/crates/anvillift-fleet/src/stream_versions.rs
+++ b/crates/anvillift-fleet/src/stream_versions.rs
@@ -30,7 +30,7 @@
     recorded_ms: u64,
 }
 
-/// Versions by stream.
+/// The version at which each recent stream began; bounded, see [`MAX_STREAMS`].
 #[derive(Clone, Debug, Default)]
 pub struct StreamVersions {
     records: BTreeMap<StreamKey, StreamRecord>,
--- a/crates/anvillift-fleet/src/worker_notices.rs
+++ b/crates/anvillift-fleet/src/worker_notices.rs
@@ -37,7 +37,8 @@
     }
 }
 
-/// Notices by worker.
+/// What each start of a worker has said. Memory is bounded by the workers known, since
+/// [`remove_stale`](Self::remove_stale) drops all others.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerNotices {
     notices: BTreeMap<WorkerStart, WorkerNotice>,
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -13,7 +13,7 @@
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 
 /// Time after the start of the planned stop during which requests are still
 /// accepted, in milliseconds. A later one might outlast the grace period.
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 
 use crate::clock;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 
 /// State on which this host bases the choice of targets.
 pub(crate) struct DispatchState {
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -1,10 +1,8 @@
 //! Sequence of attempts for a request: picks targets, decides whether to try
 //! another one, and records the start and end of each attempt.
 
-use std::collections::BTreeSet;
-
-use anvillift_fleet::retry_decision::{AttemptEnd, FinalOutcome, NextStep, RequestState};
-use anvillift_fleet::{InFlightRequest, VersionConstraint, retry_decision};
+use anvillift_fleet::retry_decision;
+use anvillift_fleet::retry_decision::{AttemptEnd, FinalOutcome, NextStep};
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -12,48 +10,12 @@
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::attempt::{AttemptOutcome, StartedResponse};
-use crate::entry::front::{ConnectionAction, Origin};
+use crate::entry::attempts::{Attempts, StartedAttempt};
+use crate::entry::front::ConnectionAction;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
 
-/// The attempts made for a request so far.
-#[derive(Default)]
-pub(crate) struct Attempts {
-    /// Workers and hosts that were tried; none is tried twice.
-    pub(crate) tried: BTreeSet<Name>,
-    pub(crate) attempt_count: u32,
-    /// Attempts in which a worker may have executed the request.
-    pub(crate) run_count: u32,
-    /// The software versions whose workers may take the next attempt.
-    pub(crate) version_constraint: VersionConstraint,
-}
-
-/// An attempt that counts as in flight at its target.
-pub(crate) struct StartedAttempt {
-    pub(crate) target: Target,
-    pub(crate) in_flight: InFlightRequest,
-    began_ms: u64,
-}
-
-impl Attempts {
-    /// No attempts yet.
-    pub(crate) fn of(request: &Request) -> Self {
-        Self { version_constraint: request.version_constraint.clone(), ..Self::default() }
-    }
-
-    pub(crate) fn state(&self, request: &Request) -> RequestState {
-        let is_forwarded = request.origin == Origin::Host;
-        RequestState {
-            kind: request.route.kind,
-            run_count: self.run_count,
-            max_runs: retry_decision::max_runs_here(request.route.attempts, is_forwarded),
-            attempt_count: self.attempt_count,
-            left_ms: request.remaining_ms(),
-        }
-    }
-}
-
 impl Entry {
     /// Makes attempts until a response can be relayed or no further attempt is
     /// allowed, and answers the caller.
@@ -299,7 +261,7 @@
     let StartedAttempt { target, began_ms, .. } = started;
     log::info!(
         event = Event::AttemptEnded.number(), id = request.id.as_str(),
-        route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason,
+        route = request.route.name.as_str(), to = target.name.as_str(), chosen = target.reason.to_string(),
         outcome = outcome, reason = reason, waited_ms = clock::now_ms() - began_ms,
         worker_born_ms = target.born_ms,
         worker_version = target.version.as_ref().map_or("", Name::as_str),
--- /dev/null
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -0,0 +1,88 @@
+//! Frames that an entry host receives over its links.
+
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{
+    FleetControlPosition, FleetFrame, FleetHostState, FleetWorker, FleetWorkerState,
+};
+use anvillift_schema::name::Name;
+
+use crate::clock;
+use crate::core::confirmation_frame;
+use crate::entry::Entry;
+
+impl Entry {
+    pub(super) fn on_frame(&self, from: &Name, frame: FleetFrame) {
+        match frame {
+            FleetFrame::Hello(host) => {
+                self.node.learn_host(host, true);
+            }
+            FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
+            FleetFrame::Control(control) => {
+                if self.node.apply_control_state(control) {
+                    self.notify_waiting();
+                    if self.is_ready() {
+                        self.node.set_state(FleetHostState::Ready);
+                    }
+                }
+            }
+            FleetFrame::ControlNews(announced) => {
+                let held_index = self.node.view.borrow().control.index;
+                let mut control_fetch = self.control_fetch.borrow_mut();
+                if control_fetch.on_announcement(clock::now_ms(), from, announced.index, held_index)
+                {
+                    self.request_control(from);
+                }
+            }
+            FleetFrame::Heard(reported) => {
+                let now_ms = clock::now_ms();
+                let hosts = &mut self.node.view.borrow_mut().hosts;
+                reported.hosts.iter().for_each(|name| hosts.record_report(now_ms, name));
+            }
+            FleetFrame::Worker(report) => self.on_worker(from, report),
+            FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
+                self.node.view.borrow_mut().hosts.record_message(clock::now_ms(), from);
+            }
+            FleetFrame::Loads(loads) => {
+                self.node.view.borrow_mut().loads.record_regions(clock::now_ms(), loads);
+            }
+            FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
+            FleetFrame::Consensus(_)
+            | FleetFrame::Streams(_)
+            | FleetFrame::StreamWanted(_)
+            | FleetFrame::ControlWanted(_)
+            | FleetFrame::WorkerSeen(_)
+            | FleetFrame::Load(_) => (),
+        }
+    }
+
+    /// Requests the control state from a core host.
+    pub(super) fn request_control(&self, core: &Name) {
+        let view = self.node.view.borrow();
+        let held =
+            FleetControlPosition { index: view.control.index, version: view.control.version };
+        if let Some(hub) = self.node.hub() {
+            hub.send(core, FleetFrame::ControlWanted(held));
+        }
+    }
+
+    fn on_worker(&self, from: &Name, report: FleetWorker) {
+        let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
+        let confirmation = confirmation_frame(&report);
+        let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
+        let version = report.version.clone();
+        let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
+        if has_changed {
+            self.notify_waiting();
+            // The version of recent streams may no longer be certain.
+            self.announcement_due.notify_one();
+            log::info!(
+                event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
+                worker_version = version.as_ref().map_or("", Name::as_str), from = from.as_str();
+                "worker is {state}"
+            );
+        }
+        if is_ending && let Some(hub) = self.node.hub() {
+            hub.send(from, confirmation);
+        }
+    }
+}
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -13,11 +13,11 @@
 use tokio::{task, time};
 
 use crate::entry::Entry;
-use crate::entry::forward::Attempts;
+use crate::entry::attempts::Attempts;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::stream_version::StreamLookup;
 use crate::entry::wait::WaitOutcome;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 use crate::respond::Reply;
 use crate::{clock, listen};
 
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -9,19 +9,27 @@
 //! are in `anvillift-fleet`.
 
 mod admit;
+mod answer_log;
+mod answer_outcome;
 mod attempt;
+mod attempts;
 mod dispatch_state;
 mod forward;
+mod frames;
 mod front;
 mod notices;
 mod overload;
 mod pool;
+mod region_loads;
 mod relay;
 mod request;
 mod request_failure;
+mod response_writer;
 mod resume;
 mod stream_version;
 mod target;
+mod target_reason;
+mod upstream_response;
 mod wait;
 
 use std::cell::{Cell, RefCell};
@@ -32,15 +40,12 @@
 use anvillift_fleet::{ControlFetch, ServiceLoads, StreamKey, seed};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{
-    FleetControlPosition, FleetFrame, FleetHostState, FleetLoad, FleetWorkerState,
-};
+use anvillift_schema::fleet::{FleetFrame, FleetLoad};
 use anvillift_schema::name::Name;
 use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::{task, time};
 
-use crate::core::confirmation_frame;
 use crate::dialect::{CallError, ControlCall, Dialect};
 use crate::entry::dispatch_state::DispatchState;
 use crate::entry::pool::Pool;
@@ -175,81 +180,6 @@
         !self.node.is_leaving() && self.node.view.borrow().configuration.is_some()
     }
 
-    fn on_frame(&self, from: &Name, frame: FleetFrame) {
-        match frame {
-            FleetFrame::Hello(host) => {
-                self.node.learn_host(host, true);
-            }
-            FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
-            FleetFrame::Control(control) => {
-                if self.node.apply_control_state(control) {
-                    self.notify_waiting();
-                    if self.is_ready() {
-                        self.node.set_state(FleetHostState::Ready);
-                    }
-                }
-            }
-            FleetFrame::ControlNews(announced) => {
-                let held_index = self.node.view.borrow().control.index;
-                let mut control_fetch = self.control_fetch.borrow_mut();
-                if control_fetch.on_announcement(clock::now_ms(), from, announced.index, held_index)
-                {
-                    self.request_control(from);
-                }
-            }
-            FleetFrame::Heard(reported) => {
-                let now_ms = clock::now_ms();
-                let hosts = &mut self.node.view.borrow_mut().hosts;
-                reported.hosts.iter().for_each(|name| hosts.record_report(now_ms, name));
-            }
-            FleetFrame::Worker(report) => self.on_worker(from, report),
-            FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
-                self.node.view.borrow_mut().hosts.record_message(clock::now_ms(), from);
-            }
-            FleetFrame::Loads(loads) => {
-                self.node.view.borrow_mut().loads.record_regions(clock::now_ms(), loads);
-            }
-            FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
-            FleetFrame::Consensus(_)
-            | FleetFrame::Streams(_)
-            | FleetFrame::StreamWanted(_)
-            | FleetFrame::ControlWanted(_)
-            | FleetFrame::WorkerSeen(_)
-            | FleetFrame::Load(_) => (),
-        }
-    }
-
-    /// Requests the control state from a core host.
-    fn request_control(&self, core: &Name) {
-        let view = self.node.view.borrow();
-        let held =
-            FleetControlPosition { index: view.control.index, version: view.control.version };
-        if let Some(hub) = self.node.hub() {
-            hub.send(core, FleetFrame::ControlWanted(held));
-        }
-    }
-
-    fn on_worker(&self, from: &Name, report: anvillift_schema::fleet::FleetWorker) {
-        let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
-        let confirmation = confirmation_frame(&report);
-        let (id, state, sequence) = (report.id.clone(), report.state, report.sequence);
-        let version = report.version.clone();
-        let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
-        if has_changed {
-            self.notify_waiting();
-            // The version of recent streams may no longer be certain.
-            self.announcement_due.notify_one();
-            log::info!(
-                event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
-                worker_version = version.as_ref().map_or("", Name::as_str), from = from.as_str();
-                "worker is {state}"
-            );
-        }
-        if is_ending && let Some(hub) = self.node.hub() {
-            hub.send(from, confirmation);
-        }
-    }
-
     /// Sends the core hosts this host's load per service at regular intervals.
     async fn report_load(self: Rc<Self>) {
         let mut tick = time::interval(LOAD_REPORT_INTERVAL);
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -12,11 +12,11 @@
 use crate::clock;
 use crate::dialect::LEAVING_VALUE;
 use crate::entry::Entry;
-use crate::entry::forward::Attempts;
+use crate::entry::attempts::Attempts;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 
 /// Pause from which on operators are warned, in milliseconds.
 const LONG_PAUSE_MS: u64 = 60_000;
--- a/crates/anvillift-node/src/entry/overload.rs
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -11,7 +11,7 @@
 use crate::entry::Entry;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 
 impl Entry {
     /// Whether a prompt of a caller is rejected because this region has a large backlog
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -9,9 +9,10 @@
 
 use crate::entry::Entry;
 use crate::entry::attempt::AttemptOutcome;
-use crate::entry::forward::{Attempts, StartedAttempt};
-use crate::entry::relay::{ResponseWriter, UpstreamResponse};
+use crate::entry::attempts::{Attempts, StartedAttempt};
 use crate::entry::request::Request;
+use crate::entry::response_writer::ResponseWriter;
+use crate::entry::upstream_response::UpstreamResponse;
 
 /// Shortest pause after which a resumable stream counts as stalled, in
 /// milliseconds.
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -10,7 +10,7 @@
 
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::eligibility::EligibilityFacts;
-use anvillift_fleet::spill::{CachingRegion, RegionLoad, SpillReason};
+use anvillift_fleet::spill::SpillReason;
 use anvillift_fleet::{
     LimitSharers, VersionConstraint, WorkerEntry, choose, eligibility, spill, start_wait, subset,
 };
@@ -20,10 +20,11 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::entry::forward::Attempts;
+use crate::entry::attempts::Attempts;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
-use crate::node::FleetView;
+use crate::entry::target_reason::TargetReason;
+use crate::fleet_view::FleetView;
 
 /// Fraction of a cold worker's configured rate that the entry hosts use together.
 const COLD_RATE_FRACTION: f64 = 0.9;
@@ -49,7 +50,7 @@
     /// Most connections that this host may have to the target.
     pub(crate) connection_limit: usize,
     /// Rule that chose the target, as logged.
-    pub(crate) reason: &'static str,
+    pub(crate) reason: TargetReason,
 }
 
 impl Entry {
@@ -70,11 +71,12 @@
             return Some(target);
         }
         let healthy = candidates.iter().filter(|other| other.degradation == Degradation::None);
-        if let Some(target) = self.first_allowed(&view, request, healthy, "local") {
+        if let Some(target) = self.first_allowed(&view, request, healthy, TargetReason::Local) {
             return Some(target);
         }
         if request.origin == Origin::Caller
-            && let Some(target) = self.remote_target(&view, request, attempts, None, "remote")
+            && let Some(target) =
+                self.remote_target(&view, request, attempts, None, TargetReason::Remote)
         {
             return Some(target);
         }
@@ -82,7 +84,7 @@
             other.degradation == Degradation::Failing
                 || (other.degradation == Degradation::Silent && request.route.kind.may_repeat())
         });
-        self.first_allowed(&view, request, degraded, "troubled")
+        self.first_allowed(&view, request, degraded, TargetReason::Degraded)
     }
 
     /// Whether a worker in `view` could take a request now.
@@ -138,7 +140,7 @@
         view: &FleetView,
         request: &Request,
         candidates: impl Iterator<Item = &'a Candidate>,
-        reason: &'static str,
+        reason: TargetReason,
     ) -> Option<Target> {
         let now_ms = clock::now_ms();
         let configuration = view.configuration.as_ref()?;
@@ -201,72 +203,7 @@
             let region = spill::region_to_spill_to(&thresholds, own_load?, &others, draw)?;
             (region.clone(), SpillReason::Load)
         };
-        let reason = match reason {
-            SpillReason::CachedPrefix => "keeper",
-            SpillReason::Load => "spill",
-        };
-        self.remote_target(view, request, &Attempts::default(), Some(&region), reason)
-    }
-
-    /// Loads of the other regions that may serve a request, as far as they are known.
-    fn other_region_loads(&self, view: &FleetView, request: &Request) -> Vec<RegionLoad> {
-        let own = &self.node.settings.region;
-        let regions: BTreeSet<&Name> = self.node.settings.regions.values().collect();
-        let others = regions.into_iter().filter(|region| *region != own);
-        let others = others.filter(|region| request.route.allows_region(region));
-        let load_of = |region: &Name| {
-            let load = self.region_load(view, request, region)?;
-            Some(RegionLoad { name: region.clone(), load })
-        };
-        others.filter_map(load_of).collect()
-    }
-
-    /// Load of a region's workers for the service of the request, in batches of as
-    /// many requests per worker as it has slots. `None` without a ready worker or a
-    /// recent report of the region.
-    fn region_load(&self, view: &FleetView, request: &Request, region: &Name) -> Option<f64> {
-        let workers = self.ready_workers(view, request, region);
-        let slots = workers.first()?.report.slots;
-        view.loads.load(clock::now_ms(), region, &request.service, workers.len(), slots)
-    }
-
-    /// The ready workers of a region for the service of a request, without those of
-    /// data centres under evacuation.
-    pub(super) fn ready_workers<'a>(
-        &self,
-        view: &'a FleetView,
-        request: &'a Request,
-        region: &Name,
-    ) -> Vec<&'a WorkerEntry> {
-        let in_region = |entry: &&WorkerEntry| {
-            let data_centre = &entry.report.data_centre;
-            self.node.settings.region_of(data_centre) == Some(region)
-                && !view.control.evacuated.contains(data_centre)
-        };
-        view.workers.ready(&request.service).filter(in_region).collect()
-    }
-
-    /// The region whose worker most likely caches the long shared prefix of a prompt,
-    /// or `None` if that is this host's region or can't be reached.
-    fn caching_region(
-        &self,
-        view: &FleetView,
-        request: &Request,
-        affinity_key: u64,
-    ) -> Option<CachingRegion> {
-        let settings = &self.node.settings;
-        let region_of = |entry: &WorkerEntry| settings.region_of(&entry.report.data_centre);
-        let workers = view.workers.ready(&request.service).filter(|entry| {
-            !view.control.evacuated.contains(&entry.report.data_centre)
-                && region_of(entry).is_some_and(|region| request.route.allows_region(region))
-        });
-        let worker = choose::affinity_worker(workers.map(|entry| &entry.report.id), affinity_key)?;
-        let region = region_of(view.workers.get(worker)?)?;
-        if *region == settings.region || !view.hosts.is_region_reachable(clock::now_ms(), region) {
-            return None;
-        }
-        let load = self.region_load(view, request, region);
-        Some(CachingRegion { name: region.clone(), load })
+        self.remote_target(view, request, &Attempts::default(), Some(&region), reason.into())
     }
 
     /// A random healthy entry host of another region with workers of the service;
@@ -277,7 +214,7 @@
         request: &Request,
         attempts: &Attempts,
         only: Option<&Name>,
-        reason: &'static str,
+        reason: TargetReason,
     ) -> Option<Target> {
         let now_ms = clock::now_ms();
         let settings = &self.node.settings;
--- a/crates/anvillift-node/src/entry/wait.rs
+++ b/crates/anvillift-node/src/entry/wait.rs
@@ -11,7 +11,7 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::node::FleetView;
+use crate::fleet_view::FleetView;
 
 /// How the wait of a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/crates/anvillift-node/src/fleet_view.rs
@@ -0,0 +1,59 @@
+//! What a process knows of the fleet.
+
+use std::sync::Arc;
+
+use anvillift_fleet::stream_origin::OriginFacts;
+use anvillift_fleet::{
+    FleetConfiguration, HostTable, RegionLoads, RouteTable, StreamKey, StreamVersions, WorkerTable,
+};
+use anvillift_schema::fleet::FleetControl;
+use anvillift_schema::name::Name;
+
+use crate::clock;
+
+/// This process's view of the fleet, built from received frames.
+pub(crate) struct FleetView {
+    pub(crate) hosts: HostTable,
+    pub(crate) workers: WorkerTable,
+    pub(crate) loads: RegionLoads,
+    /// Last control state applied; the initial one has index 0.
+    pub(crate) control: FleetControl,
+    /// Configuration decoded from `control`; `None` until one has been received.
+    pub(crate) configuration: Option<Arc<FleetConfiguration>>,
+    pub(crate) routes: RouteTable,
+    /// Versions that began the streams that this host has relayed or was told of.
+    pub(crate) streams: StreamVersions,
+    /// Time for which a stream may be resumed after its start; `None` without a
+    /// configuration.
+    pub(crate) stream_retention_ms: Option<u64>,
+    /// Start time of this process, in milliseconds.
+    pub(crate) started_ms: u64,
+}
+
+impl FleetView {
+    /// The version that must have begun every recent stream of a service, or `None`
+    /// if there may have been another one.
+    pub(crate) fn certain_version(&self, service: &str) -> Option<Name> {
+        let facts = OriginFacts {
+            workers: &self.workers,
+            hosts: &self.hosts,
+            now_ms: clock::now_ms(),
+            started_ms: self.started_ms,
+            retention_ms: self.stream_retention_ms,
+        };
+        facts.certain_version(service)
+    }
+
+    /// The version that began a stream of a service, as far as this host can tell.
+    pub(crate) fn version_of_stream(&self, stream: StreamKey, service: &str) -> Option<Name> {
+        let recorded = self.streams.version(stream).cloned();
+        recorded.or_else(|| self.certain_version(service))
+    }
+
+    /// Forgets streams that can't be resumed any more.
+    pub(crate) fn remove_old_streams(&mut self, now_ms: u64) {
+        if let Some(retention_ms) = self.stream_retention_ms {
+            self.streams.remove_older(now_ms, retention_ms);
+        }
+    }
+}
--- a/crates/anvillift-node/src/lib.rs
+++ b/crates/anvillift-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod dialect;
 mod entry;
 mod error;
+mod fleet_view;
 mod hub;
 mod link;
 mod listen;
