--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -3,10 +3,10 @@
 //! [`front`] serves the connections of callers and of other entry hosts that
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
 //! makes attempts at the targets that [`target`] chooses, unless [`overload`]
-//! rejects the request, and [`notices`] keeps what workers say in their answers; [`relay`] streams the response to the caller, and [`resume`]
-//! continues a broken stream at another worker, of the version that
-//! [`stream_version`] has found. The policies behind these decisions
-//! are in `anvillift-fleet`.
+//! rejects the request; [`notices`] keeps what workers say in their answers; [`relay`]
+//! streams the response to the caller, and [`resume`] continues a broken stream at
+//! another worker, of the version that [`stream_version`] has found. The policies
+//! behind these decisions are in `anvillift-fleet`.
 
 mod admit;
 mod answer_log;
