--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -189,7 +189,8 @@
 fn log_truncated(request: &Request, target: &Target, reason: &str) {
     log::warn!(
         event = Event::UpstreamFailed.number(), id = request.id.as_str(),
-        from = target.name.as_str(), reason = reason, age_ms = request.age_ms();
+        from = target.name.as_str(), worker_born_ms = target.born_ms, reason = reason,
+        parts = request.parts_text(), age_ms = request.age_ms();
         "response stalled or truncated"
     );
 }
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -10,6 +10,9 @@
 use crate::clock;
 use crate::entry::front::Origin;
 
+/// Most parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// An admitted request, with the route and service that admission has chosen.
 pub(crate) struct Request {
     /// Head as the caller sent it, without the fields removed at admission.
@@ -52,4 +55,12 @@
     pub(crate) fn age_ms(&self) -> u64 {
         clock::now_ms().saturating_sub(self.arrived_ms)
     }
+
+    /// Ids of the shared parts of the prompt for the log, hexadecimal and separated by
+    /// commas, the first [`MAX_LOGGED_PARTS`] of them.
+    pub(crate) fn parts_text(&self) -> String {
+        let parts = self.prompt.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        let ids: Vec<String> = parts.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
 }
