Refuse prompts with parts that crash workers

Cause: each request was judged alone. No host kept what was in flight when a worker ended, and none told another, so every further prompt with that part went to a sound worker.

Change: when an answer breaks off, the host checks whether its worker can still be reached or has started anew, and tells the cores which shared parts were in flight there (BrokenRequests). Cores count the crashes of each part since it was last served, ask entry hosts when that was, and quarantine a part after four crashes, six if it was ever served (CrashEvidence). Parts that the crashes can't tell apart are quarantined together, so that a prompt with only some of them passes; crashes that a quarantined part explains count against no other. Every host learns of it at once and when its link comes up (Quarantine); a host that hears no core decides by what it has seen. The check stands where a target is chosen, which first attempts, retries, resumed streams and forwarded requests all pass; refused requests get 503 (1309), not run, with the time that is left of ten minutes.

--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -22,6 +22,7 @@
         forward_address: String::new(),
         storage_id: Name::from(disk),
         remembers_streams: true,
+        shares_quarantine: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -23,6 +23,7 @@
         forward_address: String::new(),
         storage_id: Name::default(),
         remembers_streams: true,
+        shares_quarantine: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod control;
 mod core_roster;
+mod crash_evidence;
 mod directory;
 mod event_position;
 mod health;
--- a/crates/anvillift-fleet/tests/testsuite/region_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/region_contact.rs
@@ -27,6 +27,7 @@
         forward_address: name.to_owned(),
         storage_id: Name::default(),
         remembers_streams: true,
+        shares_quarantine: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
@@ -44,6 +44,7 @@
         forward_address: String::new(),
         storage_id: Name::default(),
         remembers_streams: true,
+        shares_quarantine: true,
     }
 }
 
--- /dev/null
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -0,0 +1,91 @@
+//! Crashes of workers on a core host, which entry hosts report, and the decision which
+//! parts of prompts are quarantined.
+
+use anvillift_fleet::{ConfirmedCrash, QUARANTINE_MS, WorkerStart};
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{
+    FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetQuarantine, FleetServedParts,
+};
+use anvillift_schema::name::Name;
+
+use crate::clock;
+use crate::core::Core;
+use crate::quarantine::parts_text;
+
+impl Core {
+    /// Records the crashes that an entry host has seen.
+    pub(super) fn on_crashes(&self, from: &Name, crashes: FleetCrashes) {
+        let now_ms = clock::now_ms();
+        for crash in crashes.crashes {
+            log::warn!(
+                event = Event::WorkerCrashed.number(), worker = crash.worker.as_str(),
+                born_ms = crash.born_ms, age_ms = crash.age_ms, parts = parts_text(&crash.parts),
+                from = from.as_str();
+                "worker has crashed"
+            );
+            let crash = ConfirmedCrash {
+                worker: WorkerStart { id: crash.worker, born_ms: crash.born_ms },
+                at_ms: now_ms.saturating_sub(crash.age_ms),
+                parts: crash.parts.into_iter().collect(),
+            };
+            self.crash_evidence.borrow_mut().record(now_ms, crash);
+        }
+        self.evaluate_crashes();
+    }
+
+    /// Records when an entry host has served parts.
+    pub(super) fn on_parts_served(&self, served: &FleetServedParts) {
+        let now_ms = clock::now_ms();
+        let mut evidence = self.crash_evidence.borrow_mut();
+        for served in &served.parts {
+            evidence.record_served(served.part, now_ms.saturating_sub(served.age_ms));
+        }
+    }
+
+    /// Asks entry hosts about suspected parts, and quarantines those that crash workers.
+    pub(super) fn evaluate_crashes(&self) {
+        let now_ms = clock::now_ms();
+        if !self.crash_evidence.borrow().is_decision_due(now_ms) {
+            return;
+        }
+        let (questions, decided) = {
+            let view = self.node.view.borrow();
+            let mut evidence = self.crash_evidence.borrow_mut();
+            let questions = evidence.take_questions(now_ms, &view.quarantine);
+            (questions, evidence.decide(now_ms, &view.quarantine))
+        };
+        if !questions.is_empty() {
+            self.ask_about_parts(questions);
+        }
+        if let Some(parts) = decided {
+            let parts = parts.into_iter().collect();
+            let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
+            self.node.add_quarantine(&entry, &self.node.own_host().name);
+        }
+    }
+
+    /// Forgets old crashes and ended quarantines.
+    pub(super) fn remove_old_crashes(&self) {
+        let now_ms = clock::now_ms();
+        self.crash_evidence.borrow_mut().remove_old(now_ms);
+        let mut view = self.node.view.borrow_mut();
+        view.quarantine.remove_ended(now_ms);
+        let entries = view.quarantine.iter(now_ms).count();
+        metrics::gauge!("anvillift_quarantined_parts").set(entries as f64);
+    }
+
+    fn ask_about_parts(&self, parts: Vec<u64>) {
+        let Some(hub) = self.node.hub() else { return };
+        log::info!(
+            event = Event::PartsSuspected.number(), parts = parts_text(&parts);
+            "parts were in flight at several crashes; asking when they were last served"
+        );
+        let mut hosts = self.node.quarantine_peers();
+        let view = self.node.view.borrow();
+        hosts.retain(|name| {
+            view.hosts.get(name).is_some_and(|host| host.role == FleetHostRole::Entry)
+        });
+        let frame = FleetFrame::PartsWanted(FleetParts { parts });
+        hosts.iter().for_each(|name| hub.send(name, frame.clone()));
+    }
+}
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -4,10 +4,12 @@
 //! [`calls`] answers operators, workers and callers; [`reports`] relays workers'
 //! reports to the other hosts; [`control_log`] runs the replica; [`gossip`] sends
 //! host lists, region loads and control versions, and changes the voters; [`streams`]
-//! remembers which version began a stream.
+//! remembers which version began a stream; [`crashes`] finds parts of prompts that crash
+//! workers.
 
 mod calls;
 mod control_log;
+mod crashes;
 mod gossip;
 mod reports;
 mod streams;
@@ -16,6 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use anvillift_fleet::CrashEvidence;
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetHostState};
@@ -39,6 +42,8 @@
 
 /// Interval of the periodic tasks.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
+/// Housekeeping ticks between two removals of old crashes.
+const CLEANUP_TICKS: u64 = 8;
 /// Longest time for a planned stop to transfer leadership and close the storage.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -47,6 +52,7 @@
     pub(crate) node: Rc<Node>,
     pub(crate) log: ControlLog,
     pub(crate) reports: RefCell<PendingReports>,
+    crash_evidence: RefCell<CrashEvidence>,
 }
 
 impl Core {
@@ -57,7 +63,12 @@
         let folder = DataFolder::open(&path).context(StorageSnafu)?;
         let node = Node::new(settings, dialect, folder.storage_id().clone());
         let log = ControlLog::start(&node, folder)?;
-        let core = Rc::new(Self { node, log, reports: RefCell::default() });
+        let core = Rc::new(Self {
+            node,
+            log,
+            reports: RefCell::default(),
+            crash_evidence: RefCell::default(),
+        });
         core.listen()?;
         core.node.dial_cores();
         core.node.set_state(FleetHostState::Ready);
@@ -104,6 +115,7 @@
     fn on_frame(&self, from: &Name, frame: FleetFrame) {
         match frame {
             FleetFrame::Hello(host) => {
+                self.node.send_quarantine(&host);
                 if self.node.learn_host(host.clone(), true) {
                     self.broadcast_host(host);
                 }
@@ -130,12 +142,18 @@
             }
             FleetFrame::Streams(streams) => self.on_streams(streams),
             FleetFrame::StreamWanted(query) => self.on_stream_query(from, &query),
+            FleetFrame::Crashes(crashes) => self.on_crashes(from, crashes),
+            FleetFrame::PartsServed(served) => self.on_parts_served(&served),
+            FleetFrame::Quarantine(entry) => {
+                self.node.add_quarantine(&entry, from);
+            }
             // A core host takes the control state from its log and sums up the loads
             // itself.
             FleetFrame::Control(_)
             | FleetFrame::ControlNews(_)
             | FleetFrame::Heard(_)
             | FleetFrame::Loads(_)
+            | FleetFrame::PartsWanted(_)
             | FleetFrame::StreamKnown(_) => (),
         }
     }
@@ -151,6 +169,10 @@
             self.expire_workers();
             self.node.view.borrow_mut().remove_old_streams(crate::clock::now_ms());
             self.send_region_loads();
+            self.evaluate_crashes();
+            if ticks.is_multiple_of(CLEANUP_TICKS) {
+                self.remove_old_crashes();
+            }
             self.send_hosts_to_cores(ticks);
             self.send_live_entries(ticks);
             self.change_voters().await;
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -135,7 +135,10 @@
                 AttemptEnd::NotSent,
                 "connection failed before any byte of the request was sent".to_owned(),
             ),
-            Err(error) => AttemptOutcome::NoResponse(AttemptEnd::Broken, error.to_string()),
+            Err(error) => {
+                self.record_broken_answer(request, target);
+                AttemptOutcome::NoResponse(AttemptEnd::Broken, error.to_string())
+            }
         }
     }
 
--- /dev/null
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -0,0 +1,239 @@
+//! Crashes of workers as this host sees them, and the refusal of prompts whose parts
+//! crash workers.
+//!
+//! When an answer breaks off, [`run_crash_checks`](Entry::run_crash_checks) checks
+//! whether its worker can still be reached. If not, cores are told which parts of prompts
+//! were in flight there. They find the parts to be quarantined, by the policy of
+//! [`CrashEvidence`](anvillift_fleet::CrashEvidence). While this host hears no core it
+//! applies that policy to what it has seen itself.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use anvillift_fleet::{ConfirmedCrash, QUARANTINE_MS, WorkerStart};
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{
+    FleetCrash, FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetQuarantine,
+    FleetServedPart, FleetServedParts,
+};
+use anvillift_schema::name::Name;
+use tokio::{task, time};
+
+use crate::clock;
+use crate::entry::Entry;
+use crate::entry::request::Request;
+use crate::entry::request_failure::RequestFailure;
+use crate::entry::target::Target;
+use crate::quarantine::parts_text;
+
+/// Time between a broken answer and the check of its worker. Within it the other
+/// answers of a worker that has crashed break off as well.
+const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Longest time for connecting to a worker that is checked.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Most crashes kept for cores while none is linked.
+const MAX_UNREPORTED_CRASHES: usize = 256;
+/// Most crashes that cores are told of at a time.
+const MAX_CRASHES_PER_FRAME: usize = 32;
+/// Most parts that cores are told of one crash.
+const MAX_PARTS_PER_CRASH: usize = 64;
+
+impl Entry {
+    /// Records that the answer of a worker broke off.
+    pub(super) fn record_broken_answer(&self, request: &Request, target: &Target) {
+        if target.is_host {
+            return;
+        }
+        let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
+        let needs_check =
+            self.broken.borrow_mut().record(clock::now_ms(), &worker, &request.prompt);
+        if needs_check {
+            self.crash_check_due.notify_one();
+        }
+    }
+
+    /// Records that an answer was complete, which shows that the parts of its prompt
+    /// don't crash workers.
+    pub(super) fn record_served(&self, request: &Request, status: u16) {
+        if (200..300).contains(&status) {
+            self.dispatch.borrow_mut().served_parts.record(clock::now_ms(), &request.prompt);
+        }
+    }
+
+    /// Checks the workers whose answers broke off, and reports those that have crashed.
+    pub(super) async fn run_crash_checks(self: Rc<Self>) {
+        loop {
+            self.crash_check_due.notified().await;
+            time::sleep(CHECK_DELAY).await;
+            for worker in self.broken.borrow_mut().take_unchecked() {
+                let entry = Rc::clone(&self);
+                task::spawn_local(async move { entry.check_worker(worker).await });
+            }
+        }
+    }
+
+    async fn check_worker(&self, worker: WorkerStart) {
+        let address = {
+            let view = self.node.view.borrow();
+            let current = view.workers.get(&worker.id);
+            let current = current.filter(|entry| entry.report.born_ms == worker.born_ms);
+            current.and_then(|entry| entry.report.address.parse().ok())
+        };
+        if let Some(address) = address
+            && self.pool.is_reachable(address, CHECK_TIMEOUT).await
+        {
+            return;
+        }
+        let crash = self.broken.borrow_mut().confirm(&worker);
+        if let Some(crash) = crash {
+            self.report_crashes(vec![crash]);
+        }
+    }
+
+    /// Reports the crashes of workers that have already started anew.
+    pub(super) fn report_restarted_workers(&self) {
+        let crashes = self.broken.borrow_mut().confirm_restarted(&self.node.view.borrow().workers);
+        if !crashes.is_empty() {
+            self.report_crashes(crashes);
+        }
+    }
+
+    fn report_crashes(&self, crashes: Vec<ConfirmedCrash>) {
+        for crash in &crashes {
+            metrics::counter!("anvillift_worker_crashes_total").increment(1);
+            let parts: Vec<u64> = crash.parts.iter().copied().collect();
+            log::warn!(
+                event = Event::WorkerCrashed.number(), worker = crash.worker.id.as_str(),
+                born_ms = crash.worker.born_ms, age_ms = clock::now_ms() - crash.at_ms,
+                parts = parts_text(&parts);
+                "worker has crashed with prompts of this host in flight"
+            );
+            self.crash_evidence.borrow_mut().record(clock::now_ms(), crash.clone());
+        }
+        {
+            let mut unreported = self.unreported_crashes.borrow_mut();
+            let free = MAX_UNREPORTED_CRASHES.saturating_sub(unreported.len());
+            unreported.extend(crashes.into_iter().take(free));
+        }
+        self.send_crashes();
+    }
+
+    /// Tells the linked cores of crashes; without one, they are told later.
+    fn send_crashes(&self) {
+        let cores = self.crash_cores();
+        let Some(hub) = self.node.hub().filter(|_| !cores.is_empty()) else { return };
+        let crashes = std::mem::take(&mut *self.unreported_crashes.borrow_mut());
+        let crashes: Vec<FleetCrash> =
+            crashes.into_iter().map(|crash| self.describe(crash)).collect();
+        for part in crashes.chunks(MAX_CRASHES_PER_FRAME) {
+            let frame = FleetFrame::Crashes(FleetCrashes { crashes: part.to_vec() });
+            cores.iter().for_each(|core| hub.send(core, frame.clone()));
+        }
+    }
+
+    /// Describes a crash to cores. Of too many parts, those that were never served come
+    /// first.
+    fn describe(&self, crash: ConfirmedCrash) -> FleetCrash {
+        let mut parts: Vec<u64> = crash.parts.into_iter().collect();
+        let dispatch = self.dispatch.borrow();
+        parts.sort_by_key(|part| dispatch.served_parts.last_served_ms(*part));
+        parts.truncate(MAX_PARTS_PER_CRASH);
+        FleetCrash {
+            worker: crash.worker.id,
+            born_ms: crash.worker.born_ms,
+            age_ms: clock::now_ms().saturating_sub(crash.at_ms),
+            parts,
+        }
+    }
+
+    /// Answers a core that asks when parts were last served.
+    pub(super) fn answer_parts_wanted(&self, from: &Name, wanted: &FleetParts) {
+        let now_ms = clock::now_ms();
+        let dispatch = self.dispatch.borrow();
+        let served = |part: &u64| {
+            let served_ms = dispatch.served_parts.last_served_ms(*part)?;
+            Some(FleetServedPart { part: *part, age_ms: now_ms.saturating_sub(served_ms) })
+        };
+        let parts: Vec<FleetServedPart> = wanted.parts.iter().filter_map(served).collect();
+        if let Some(hub) = self.node.hub().filter(|_| !parts.is_empty()) {
+            hub.send(from, FleetFrame::PartsServed(FleetServedParts { parts }));
+        }
+    }
+
+    /// Reports crashes that are due, and decides alone while no core is heard.
+    pub(super) fn update_crashes(&self) {
+        let now_ms = clock::now_ms();
+        self.report_restarted_workers();
+        self.broken.borrow_mut().remove_old(now_ms);
+        if self.hears_core() {
+            self.send_crashes();
+        } else {
+            self.decide_alone(now_ms);
+        }
+    }
+
+    /// Forgets old crashes and ended quarantines.
+    pub(super) fn remove_old_crashes(&self) {
+        let now_ms = clock::now_ms();
+        self.crash_evidence.borrow_mut().remove_old(now_ms);
+        let mut view = self.node.view.borrow_mut();
+        view.quarantine.remove_ended(now_ms);
+        let entries = view.quarantine.iter(now_ms).count();
+        metrics::gauge!("anvillift_quarantined_parts").set(entries as f64);
+    }
+
+    fn decide_alone(&self, now_ms: u64) {
+        let mut evidence = self.crash_evidence.borrow_mut();
+        if !evidence.is_decision_due(now_ms) {
+            return;
+        }
+        let decided = {
+            let dispatch = self.dispatch.borrow();
+            if dispatch.served_parts.is_empty() {
+                return;
+            }
+            let quarantine = &self.node.view.borrow().quarantine;
+            for part in evidence.take_questions(now_ms, quarantine) {
+                if let Some(served_ms) = dispatch.served_parts.last_served_ms(part) {
+                    evidence.record_served(part, served_ms);
+                }
+            }
+            evidence.decide(now_ms, quarantine)
+        };
+        if let Some(parts) = decided {
+            let parts = parts.into_iter().collect();
+            let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
+            self.node.add_quarantine(&entry, &self.node.own_host().name);
+        }
+    }
+
+    /// Linked cores that understand the frames about crashes.
+    fn crash_cores(&self) -> Vec<Name> {
+        let mut names = self.node.quarantine_peers();
+        let view = self.node.view.borrow();
+        names.retain(|name| {
+            view.hosts.get(name).is_some_and(|host| host.role == FleetHostRole::Core)
+        });
+        names
+    }
+
+    /// Whether messages of a core that understands the frames about crashes arrive.
+    fn hears_core(&self) -> bool {
+        let heard = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
+        heard.iter().any(|host| host.role == FleetHostRole::Core && host.shares_quarantine)
+    }
+
+    /// The answer to a request whose prompt has parts that crash workers.
+    pub(super) fn quarantine_refusal(&self, request: &Request) -> Option<RequestFailure> {
+        let view = self.node.view.borrow();
+        let remaining_ms = view.quarantine.remaining_ms(clock::now_ms(), &request.prompt)?;
+        metrics::counter!("anvillift_rejected_for_quarantine_total").increment(1);
+        log::info!(
+            event = Event::PromptQuarantined.number(), id = request.id.as_str(),
+            service = request.service.as_str(), parts = request.parts_text(),
+            remaining_ms = remaining_ms;
+            "prompt refused: its parts crash workers"
+        );
+        Some(RequestFailure::quarantined(remaining_ms))
+    }
+}
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -6,7 +6,8 @@
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
     AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, PrefixCounts, Prompt,
-    PromptSpeed, RetryShare, RetryShareSettings, WorkerHealth, WorkerHealthSettings, WorkerNotices,
+    PromptSpeed, RetryShare, RetryShareSettings, ServedParts, WorkerHealth, WorkerHealthSettings,
+    WorkerNotices,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -28,6 +29,8 @@
     pub(crate) prompt_speeds: BTreeMap<Name, PromptSpeed>,
     /// What workers have said in their answers.
     pub(crate) notices: WorkerNotices,
+    /// Parts of the prompts that this host has served.
+    pub(crate) served_parts: ServedParts,
     in_flight_table: InFlightTable,
     /// Timeouts for the response head, from the recent latencies of each route.
     pub(crate) answer_timeouts: AnswerTimeouts,
@@ -45,6 +48,7 @@
             prefix_counts: BTreeMap::new(),
             prompt_speeds: BTreeMap::new(),
             notices: WorkerNotices::default(),
+            served_parts: ServedParts::default(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -14,6 +14,7 @@
     pub(super) fn on_frame(&self, from: &Name, frame: FleetFrame) {
         match frame {
             FleetFrame::Hello(host) => {
+                self.node.send_quarantine(&host);
                 self.node.learn_host(host, true);
             }
             FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
@@ -46,7 +47,13 @@
                 self.node.view.borrow_mut().loads.record_regions(clock::now_ms(), loads);
             }
             FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
+            FleetFrame::PartsWanted(wanted) => self.answer_parts_wanted(from, &wanted),
+            FleetFrame::Quarantine(entry) => {
+                self.node.add_quarantine(&entry, from);
+            }
             FleetFrame::Consensus(_)
+            | FleetFrame::Crashes(_)
+            | FleetFrame::PartsServed(_)
             | FleetFrame::Streams(_)
             | FleetFrame::StreamWanted(_)
             | FleetFrame::ControlWanted(_)
@@ -73,6 +80,7 @@
         let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
         if has_changed {
             self.notify_waiting();
+            self.report_restarted_workers();
             // The version of recent streams may no longer be certain.
             self.announcement_due.notify_one();
             log::info!(
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -5,14 +5,16 @@
 //! makes attempts at the targets that [`target`] chooses, unless [`overload`]
 //! rejects the request; [`notices`] keeps what workers say in their answers; [`relay`]
 //! streams the response to the caller, and [`resume`] continues a broken stream at
-//! another worker, of the version that [`stream_version`] has found. The policies
-//! behind these decisions are in `anvillift-fleet`.
+//! another worker, of the version that [`stream_version`] has found. [`crashes`] finds out
+//! which prompts were in flight at workers that crash. The policies behind these decisions
+//! are in `anvillift-fleet`.
 
 mod admit;
 mod answer_log;
 mod answer_outcome;
 mod attempt;
 mod attempts;
+mod crashes;
 mod dispatch_state;
 mod forward;
 mod frames;
@@ -37,7 +39,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{ControlFetch, ServiceLoads, StreamKey, seed};
+use anvillift_fleet::{
+    BrokenRequests, ConfirmedCrash, ControlFetch, CrashEvidence, ServiceLoads, StreamKey, seed,
+};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetLoad};
@@ -88,6 +92,14 @@
     view_changed: Notify,
     /// Wakes the task that tells cores about streams.
     announcement_due: Notify,
+    /// Answers that broke off, until it is known whether their worker has crashed.
+    broken: RefCell<BrokenRequests>,
+    /// Confirmed crashes of which cores haven't been told.
+    unreported_crashes: RefCell<Vec<ConfirmedCrash>>,
+    /// What this host itself knows of crashes, which counts while it hears no core.
+    crash_evidence: RefCell<CrashEvidence>,
+    /// Wakes the task that checks workers for crashes.
+    crash_check_due: Notify,
     /// Running lookups of the version that began a stream.
     stream_lookups: RefCell<BTreeMap<StreamKey, Vec<AnswerSender>>>,
     /// Memory reserved for request bodies, in bytes.
@@ -113,6 +125,10 @@
             waiting_requests: Cell::new(0),
             view_changed: Notify::new(),
             announcement_due: Notify::new(),
+            broken: RefCell::default(),
+            unreported_crashes: RefCell::default(),
+            crash_evidence: RefCell::default(),
+            crash_check_due: Notify::new(),
             stream_lookups: RefCell::default(),
             reserved_body_bytes: Cell::new(0),
             leaving_since_ms: Cell::new(None),
@@ -125,6 +141,8 @@
         task::spawn_local(async move { reporter.report_load().await });
         let announcer = Rc::clone(&entry);
         task::spawn_local(async move { announcer.run_announcements().await });
+        let checker = Rc::clone(&entry);
+        task::spawn_local(async move { checker.run_crash_checks().await });
         Ok(entry)
     }
 
@@ -216,6 +234,7 @@
                 self.request_control(&core);
             }
             self.node.refresh_own_entry();
+            self.update_crashes();
             ticks += 1;
             if ticks.is_multiple_of(CLEANUP_TICKS) {
                 let mut view = self.node.view.borrow_mut();
@@ -223,6 +242,8 @@
                 view.workers.remove_gone(now_ms);
                 view.remove_old_streams(now_ms);
                 self.dispatch.borrow_mut().remove_stale(&view);
+                drop(view);
+                self.remove_old_crashes();
             }
             self.export_notice_metrics();
             metrics::gauge!("anvillift_requests_in_service").set(self.in_service.get() as f64);
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -78,6 +78,9 @@
     /// workers have asked for a pause, its caller is told to come back when one of them
     /// takes requests again.
     pub(super) fn refusal(&self, request: &Request, attempts: &Attempts) -> RequestFailure {
+        if let Some(failure) = self.quarantine_refusal(request) {
+            return failure;
+        }
         let view = self.node.view.borrow();
         let remaining_ms = self.remaining_pauses_ms(&view, request, &attempts.version_constraint);
         if remaining_ms.is_empty() {
--- a/crates/anvillift-node/src/entry/pool.rs
+++ b/crates/anvillift-node/src/entry/pool.rs
@@ -85,6 +85,25 @@
         Ok(lease)
     }
 
+    /// Whether a peer accepts connections. A connection that was opened for this is kept
+    /// in the pool.
+    pub(crate) async fn is_reachable(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> bool {
+        let until_ms = clock::now_ms() + DEFAULT_IDLE_MS - IDLE_MARGIN_MS;
+        if let Some(connection) = self.take_idle(address) {
+            self.keep(address, IdleConnection { connection, until_ms });
+            return true;
+        }
+        let Ok(stream) = listen::connect(address, connect_timeout).await else { return false };
+        metrics::counter!("anvillift_connections_opened_total").increment(1);
+        self.peers.borrow_mut().entry(address).or_default().open += 1;
+        self.keep(address, IdleConnection { connection: Connection::new(stream), until_ms });
+        true
+    }
+
     /// Drops idle connections that have expired or were closed by the peer.
     pub(crate) fn prune(&self, now_ms: u64) {
         let mut peers = self.peers.borrow_mut();
@@ -109,6 +128,12 @@
         None
     }
 
+    fn keep(&self, address: SocketAddr, connection: IdleConnection) {
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&address) {
+            peer.idle.push(connection);
+        }
+    }
+
     fn lease(self: &Rc<Self>, address: SocketAddr, connection: Option<Connection>) -> Lease {
         Lease { connection, address, pool: Rc::clone(self), holds_slot: true }
     }
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -87,6 +87,7 @@
                 RelayStep::Truncated(reason) => {
                     let ended = EndedResponse::of(&upstream);
                     let version = upstream.version.clone();
+                    self.record_broken_answer(request, &upstream.target);
                     self.abandon_upstream(request, upstream, &reason);
                     let resumed =
                         self.resume(caller, request, &mut attempts, &mut writer, version).await;
@@ -106,6 +107,7 @@
                 }
                 RelayStep::Complete => {
                     let success = upstream.head.status < 500;
+                    self.record_served(request, upstream.head.status);
                     let ended = writer.end(caller).await;
                     let keep_alive = writer.keep_alive && ended.is_ok();
                     self.finish_response(
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -41,6 +41,11 @@
         Self { is_spread: true, ..Self::retryable(Code::UpstreamsPaused, retry_after_ms) }
     }
 
+    /// The prompt has parts that crash workers.
+    pub(crate) const fn quarantined(retry_after_ms: u64) -> Self {
+        Self::retryable(Code::PromptQuarantined, retry_after_ms)
+    }
+
     const fn retryable(code: Code, retry_after_ms: u64) -> Self {
         Self { code, retry_after_ms: Some(retry_after_ms), is_spread: false }
     }
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -58,6 +58,9 @@
     /// host can take it.
     pub(crate) fn next_target(&self, request: &Request, attempts: &Attempts) -> Option<Target> {
         let view = self.node.view.borrow();
+        if view.quarantine.remaining_ms(clock::now_ms(), &request.prompt).is_some() {
+            return None;
+        }
         let is_allowed_here = request.route.allows_region(&self.node.settings.region);
         let mut candidates =
             if is_allowed_here { self.candidates(&view, request, attempts) } else { Vec::new() };
--- a/crates/anvillift-node/src/fleet_view.rs
+++ b/crates/anvillift-node/src/fleet_view.rs
@@ -4,7 +4,8 @@
 
 use anvillift_fleet::stream_origin::OriginFacts;
 use anvillift_fleet::{
-    FleetConfiguration, HostTable, RegionLoads, RouteTable, StreamKey, StreamVersions, WorkerTable,
+    FleetConfiguration, HostTable, Quarantine, RegionLoads, RouteTable, StreamKey, StreamVersions,
+    WorkerTable,
 };
 use anvillift_schema::fleet::FleetControl;
 use anvillift_schema::name::Name;
@@ -23,6 +24,8 @@
     pub(crate) routes: RouteTable,
     /// Versions that began the streams that this host has relayed or was told of.
     pub(crate) streams: StreamVersions,
+    /// Parts of prompts that crash workers.
+    pub(crate) quarantine: Quarantine,
     /// Time for which a stream may be resumed after its start; `None` without a
     /// configuration.
     pub(crate) stream_retention_ms: Option<u64>,
--- a/crates/anvillift-node/src/lib.rs
+++ b/crates/anvillift-node/src/lib.rs
@@ -21,6 +21,7 @@
 mod listen;
 mod node;
 mod node_calls;
+mod quarantine;
 mod recorder;
 mod respond;
 mod run;
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use anvillift_fleet::{
-    ConfigurationError, FleetConfiguration, HostTable, HostTableSettings, RegionLoads, RouteTable,
-    StreamVersions, WorkerTable, document,
+    ConfigurationError, FleetConfiguration, HostTable, HostTableSettings, Quarantine, RegionLoads,
+    RouteTable, StreamVersions, WorkerTable, document,
 };
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
@@ -80,6 +80,7 @@
             forward_address: address_text(is_entry.then(|| settings.forward_address())),
             storage_id,
             remembers_streams: true,
+            shares_quarantine: true,
         };
         let mut hosts = HostTable::new(table_settings);
         hosts.merge(clock::now_ms(), own_host.clone(), true);
@@ -91,6 +92,7 @@
             configuration: None,
             routes: RouteTable::default(),
             streams: StreamVersions::default(),
+            quarantine: Quarantine::default(),
             stream_retention_ms: None,
             started_ms: clock::now_ms(),
         };
--- /dev/null
+++ b/crates/anvillift-node/src/quarantine.rs
@@ -0,0 +1,65 @@
+//! The quarantine of parts of prompts, as hosts share it: each entry is told to every
+//! linked host once it is new, and all entries to a host whose link comes up.
+
+use std::collections::BTreeSet;
+
+use anvillift_schema::event::Event;
+use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetQuarantine};
+use anvillift_schema::name::Name;
+
+use crate::clock;
+use crate::node::Node;
+
+impl Node {
+    /// Adds an entry that another host, or this one, has found. If it is new, the other
+    /// linked hosts are told.
+    pub(crate) fn add_quarantine(&self, entry: &FleetQuarantine, from: &Name) -> bool {
+        let parts: BTreeSet<u64> = entry.parts.iter().copied().collect();
+        let now_ms = clock::now_ms();
+        let is_new = self.view.borrow_mut().quarantine.add(now_ms, parts, entry.remaining_ms);
+        if !is_new {
+            return false;
+        }
+        log::warn!(
+            event = Event::PartsQuarantined.number(), parts = parts_text(&entry.parts),
+            remaining_ms = entry.remaining_ms, from = from.as_str();
+            "prompts with these parts crash workers and are refused"
+        );
+        for name in self.quarantine_peers() {
+            if name != *from
+                && let Some(hub) = self.hub()
+            {
+                hub.send(&name, FleetFrame::Quarantine(entry.clone()));
+            }
+        }
+        true
+    }
+
+    /// Tells a host whose link has come up what is quarantined.
+    pub(crate) fn send_quarantine(&self, host: &FleetHost) {
+        let Some(hub) = self.hub() else { return };
+        if !host.shares_quarantine {
+            return;
+        }
+        for (parts, remaining_ms) in self.view.borrow().quarantine.iter(clock::now_ms()) {
+            let parts = parts.iter().copied().collect();
+            let entry = FleetQuarantine { parts, remaining_ms };
+            hub.send(&host.name, FleetFrame::Quarantine(entry));
+        }
+    }
+
+    /// Linked hosts that understand the frames about crashes and quarantined parts.
+    pub(crate) fn quarantine_peers(&self) -> Vec<Name> {
+        let Some(hub) = self.hub() else { return Vec::new() };
+        let view = self.view.borrow();
+        let mut names = hub.connected();
+        names.retain(|name| view.hosts.get(name).is_some_and(|host| host.shares_quarantine));
+        names
+    }
+}
+
+/// Ids of parts for the log, hexadecimal and separated by commas.
+pub(crate) fn parts_text(parts: &[u64]) -> String {
+    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+    ids.join(",")
+}
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -77,6 +77,10 @@
     WorkerSaysLeaving = 2713, "info", "A worker said in an answer that it is leaving";
     WorkerAsksForPause = 2714, "info", "A worker asked for a pause";
     PauseUnreadable = 2715, "warn", "A worker asked for a pause that cannot be read";
+    WorkerCrashed = 2716, "warn", "A worker crashed while requests of this host were in flight there";
+    PartsSuspected = 2717, "info", "Hosts are asked about parts of prompts that were in flight at several crashes";
+    PartsQuarantined = 2718, "warn", "Prompts with parts that crash workers are refused from now on";
+    PromptQuarantined = 2719, "info", "A prompt was refused because its parts crash workers";
 }
 
 impl Event {
