Read and log the limit that workers name

No line told which host was told which limit, and when, so that a limit that nobody reads could not be told from one that is forgotten or read wrongly. The limit is read from each answer and kept for the start of its worker; changes are logged (2720), unreadable values too (2721). Nothing depends on it yet.

--- a/crates/anvillift-fleet/src/worker_notices.rs
+++ b/crates/anvillift-fleet/src/worker_notices.rs
@@ -1,5 +1,5 @@
-//! What workers have told this host in their answers: that they are leaving, or that
-//! they want no requests for a time.
+//! What workers have told this host in their answers: that they are leaving, that they
+//! want no requests for a time, or how many requests they take.
 //!
 //! A notice belongs to one start of a worker. The same worker started anew, or another
 //! one at its address, begins without it.
@@ -28,6 +28,11 @@
     pub pause_asked_ms: u64,
     /// Time until which the worker wants no requests; 0 if it never asked for a pause.
     pub paused_until_ms: u64,
+    /// Requests per 1,000 seconds that it takes from all hosts together; `None` without
+    /// a limit.
+    pub limit_per_1000_s: Option<u64>,
+    /// Time of the last answer that named the limit.
+    pub limit_named_ms: u64,
 }
 
 impl WorkerNotice {
@@ -62,6 +67,24 @@
         notice.paused_until_ms = notice.paused_until_ms.max(now_ms.saturating_add(pause_ms));
     }
 
+    /// Records an answer that names a limit. Returns whether the limit is new.
+    pub fn record_limit(&mut self, now_ms: u64, worker: &WorkerStart, per_1000_s: u64) -> bool {
+        let notice = self.notices.entry(worker.clone()).or_default();
+        notice.limit_named_ms = now_ms;
+        notice.limit_per_1000_s.replace(per_1000_s) != Some(per_1000_s)
+    }
+
+    /// Records an answer without a limit to a request that was sent at `sent_ms`. It ends
+    /// the limit unless the limit was named after the request was sent, since answers
+    /// may overtake each other. Returns whether it does.
+    pub fn record_no_limit(&mut self, worker: &WorkerStart, sent_ms: u64) -> bool {
+        let Some(notice) = self.notices.get_mut(worker) else { return false };
+        if sent_ms <= notice.limit_named_ms {
+            return false;
+        }
+        notice.limit_per_1000_s.take().is_some()
+    }
+
     /// What a worker has said; the default if it has said nothing.
     pub fn get(&self, worker: &WorkerStart) -> WorkerNotice {
         self.notices.get(worker).copied().unwrap_or_default()
@@ -74,7 +97,10 @@
             let entry = workers.get(&worker.id);
             let is_current = entry
                 .is_some_and(|entry| entry.report.born_ms == worker.born_ms && !entry.has_left());
-            is_current && (notice.leaving_since_ms.is_some() || notice.is_paused(now_ms))
+            let says_something = notice.leaving_since_ms.is_some()
+                || notice.is_paused(now_ms)
+                || notice.limit_per_1000_s.is_some();
+            is_current && says_something
         });
     }
 
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -32,6 +32,9 @@
     pub resumes: &'static str,
     /// Set to [`LEAVING_VALUE`] on each answer of a worker that is leaving.
     pub leaving: &'static str,
+    /// Requests per second that a worker takes from all hosts together, on each of its
+    /// answers for as long as the limit holds.
+    pub rate_limit: &'static str,
     /// Fields that are removed from callers' requests, since only this system
     /// may set them.
     pub system_only: &'static [&'static str],
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -119,10 +119,12 @@
         };
         let bytes = self.request_bytes(request, target, resume_after);
         let mut sent_bytes = 0;
+        let sent_ms = clock::now_ms();
         let id_field = self.node.dialect.headers.request_id;
         let read = match lease.connection() {
             Ok(connection) => {
-                let on_head = |head: &ResponseHead| self.record_notices(request, target, head);
+                let on_head =
+                    |head: &ResponseHead| self.record_notices(request, target, sent_ms, head);
                 send_and_read(connection, &bytes, &mut sent_bytes, request, id_field, on_head).await
             }
             Err(error) => Err(error.into()),
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -1,10 +1,10 @@
-//! Notices of workers: reads from each answer whether the worker is leaving or wants a
-//! pause, and answers requests for which every worker has asked for a pause.
+//! Notices of workers: reads from each answer whether the worker is leaving, wants a
+//! pause or names a limit, and answers requests for which every worker has asked for a pause.
 
 use std::collections::BTreeSet;
 
 use anvillift_fleet::eligibility::{EligibilityFacts, Ineligible};
-use anvillift_fleet::{VersionConstraint, WorkerStart, eligibility, retry_after};
+use anvillift_fleet::{VersionConstraint, WorkerStart, eligibility, rate_limit, retry_after};
 use anvillift_http::ResponseHead;
 use anvillift_schema::event::Event;
 use rand::Rng;
@@ -28,7 +28,13 @@
 impl Entry {
     /// Records what the head of an answer says about new requests to its worker. The
     /// head of another host's answer tells about a worker of that host's region.
-    pub(super) fn record_notices(&self, request: &Request, target: &Target, head: &ResponseHead) {
+    pub(super) fn record_notices(
+        &self,
+        request: &Request,
+        target: &Target,
+        sent_ms: u64,
+        head: &ResponseHead,
+    ) {
         if target.is_host {
             return;
         }
@@ -39,6 +45,42 @@
         if head.status == 503 && head.headers.contains("retry-after") {
             self.record_pause(request, &worker, head);
         }
+        if head.headers.contains(self.node.dialect.headers.rate_limit) {
+            self.record_limit(request, &worker, head);
+        } else if self.is_answer_of_worker(request, head) {
+            self.record_no_limit(request, &worker, sent_ms);
+        }
+    }
+
+    /// Whether a head is that of the worker's own answer to the request, rather than an
+    /// interim one, one to another request, or one of another worker at the address.
+    fn is_answer_of_worker(&self, request: &Request, head: &ResponseHead) -> bool {
+        let names_request =
+            head.headers.get(self.node.dialect.headers.request_id) == Some(&request.id);
+        names_request && head.status >= 200 && head.status != 421
+    }
+
+    fn record_limit(&self, request: &Request, worker: &WorkerStart, head: &ResponseHead) {
+        let field = self.node.dialect.headers.rate_limit;
+        let values = head.headers.all(field).map(AsRef::as_ref);
+        let Some(per_1000_s) = rate_limit::per_1000_s(values) else {
+            log::warn!(
+                event = Event::LimitUnreadable.number(), id = request.id.as_str(),
+                worker = worker.id.as_str(), value = logged_value(head, field);
+                "limit of a worker is no number of requests a second; ignored"
+            );
+            return;
+        };
+        let now_ms = clock::now_ms();
+        if self.dispatch.borrow_mut().notices.record_limit(now_ms, worker, per_1000_s) {
+            log_limit(request, worker, Some(per_1000_s));
+        }
+    }
+
+    fn record_no_limit(&self, request: &Request, worker: &WorkerStart, sent_ms: u64) {
+        if self.dispatch.borrow_mut().notices.record_no_limit(worker, sent_ms) {
+            log_limit(request, worker, None);
+        }
     }
 
     fn record_leaving(&self, request: &Request, worker: &WorkerStart) {
@@ -55,11 +97,9 @@
     fn record_pause(&self, request: &Request, worker: &WorkerStart, head: &ResponseHead) {
         let values = head.headers.all("retry-after").map(AsRef::as_ref);
         let Some(pause_ms) = retry_after::pause_ms(values) else {
-            let value = head.headers.get("retry-after").unwrap_or("(not UTF-8)");
-            let value: String = value.chars().take(MAX_LOGGED_BYTES).collect();
             log::warn!(
                 event = Event::PauseUnreadable.number(), id = request.id.as_str(),
-                worker = worker.id.as_str(), value = value;
+                worker = worker.id.as_str(), value = logged_value(head, "retry-after");
                 "Retry-After of a worker is no number of seconds; ignored"
             );
             return;
@@ -144,3 +184,19 @@
         metrics::gauge!("anvillift_workers_paused_long").set(f64::from(paused_long));
     }
 }
+
+/// The start of a field that can't be read.
+fn logged_value(head: &ResponseHead, field: &str) -> String {
+    let value = head.headers.get(field).unwrap_or("(not UTF-8)");
+    value.chars().take(MAX_LOGGED_BYTES).collect()
+}
+
+fn log_limit(request: &Request, worker: &WorkerStart, per_1000_s: Option<u64>) {
+    log::info!(
+        event = Event::WorkerNamesLimit.number(), id = request.id.as_str(),
+        worker = worker.id.as_str(), born_ms = worker.born_ms,
+        is_limited = per_1000_s.is_some(),
+        limit_per_s = per_1000_s.unwrap_or_default() as f64 / 1_000.0;
+        "limit that a worker names has changed"
+    );
+}
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -81,6 +81,8 @@
     PartsSuspected = 2717, "info", "Hosts are asked about parts of prompts that were in flight at several crashes";
     PartsQuarantined = 2718, "warn", "Prompts with parts that crash workers are refused from now on";
     PromptQuarantined = 2719, "info", "A prompt was refused because its parts crash workers";
+    WorkerNamesLimit = 2720, "info", "A worker named a limit on its requests, another one than before, or none any more";
+    LimitUnreadable = 2721, "warn", "A worker named a limit that cannot be read";
 }
 
 impl Event {
