Keep to the limits that workers name

Change: each host takes turns at a worker that has named a limit: one request each n / r seconds, with n hosts in the region and 80 % of the limit r, in turns spread by the rank of the host (LimitShare). Nothing is told between hosts, so hosts that are cut off keep to it, and hosts without requests can't save turns up. The check stands in eligibility, which every way to a worker passes: first attempts, retries, resumed streams, forwarded requests. A limit belongs to the start of its worker; it ends with an answer without it to a request sent after the last one that named it, and the rate then doubles every half second. With all workers out of turns a request goes to another region or is refused at once (1310), not run, with a time to come back.

--- a/crates/anvillift-fleet/src/cold_share.rs
+++ b/crates/anvillift-fleet/src/cold_share.rs
@@ -32,15 +32,19 @@
 }
 
 impl LimitSharers<'_> {
-    /// Requests per second that this host may send, of `limit` for all hosts together.
-    fn own_share(&self, worker: &str, limit: f64) -> usize {
+    /// Number of hosts that share a limit, at least as many as there may be.
+    pub(crate) fn count(&self) -> usize {
         let known_hosts = self.hosts.len().max(1);
-        let count = if self.has_discovered_all_hosts {
+        if self.has_discovered_all_hosts {
             known_hosts
         } else {
             known_hosts.max(MIN_HOSTS_AFTER_START)
-        };
-        let share = (limit / count as f64).floor() as usize;
+        }
+    }
+
+    /// Requests per second that this host may send, of `limit` for all hosts together.
+    fn own_share(&self, worker: &str, limit: f64) -> usize {
+        let share = (limit / self.count() as f64).floor() as usize;
         if share > 0 || !self.has_discovered_all_hosts {
             return share;
         }
--- a/crates/anvillift-fleet/src/decimal.rs
+++ b/crates/anvillift-fleet/src/decimal.rs
@@ -1,6 +1,7 @@
 //! Reads decimal numbers in header fields.
 
-const THOUSANDTHS: u64 = 1_000;
+/// Thousandths of one.
+pub(crate) const THOUSANDTHS: u64 = 1_000;
 /// Digits of a fraction that count.
 const FRACTION_DIGITS: usize = 3;
 
--- a/crates/anvillift-fleet/src/eligibility.rs
+++ b/crates/anvillift-fleet/src/eligibility.rs
@@ -37,6 +37,13 @@
         /// End of the pause.
         until_ms: u64,
     },
+    /// It has named a limit on the requests of all hosts, and this host has no turn for a
+    /// time, in milliseconds.
+    #[display("limited")]
+    Limited {
+        /// Time until the next turn.
+        wait_ms: u64,
+    },
 }
 
 /// Facts about a request and a worker.
@@ -48,6 +55,9 @@
     pub worker: &'a WorkerEntry,
     /// What the worker has said in its answers to this host.
     pub notice: WorkerNotice,
+    /// Time until this host may send the worker a request under the limit that the worker
+    /// has named, in milliseconds; 0 if it may now.
+    pub limit_wait_ms: u64,
     /// Data centres under evacuation.
     pub evacuated: &'a [Name],
     /// Workers to which the request was sent before.
@@ -77,5 +87,8 @@
     if facts.notice.is_paused(facts.now_ms) {
         return Err(Ineligible::Paused { until_ms: facts.notice.paused_until_ms });
     }
+    if facts.limit_wait_ms > 0 {
+        return Err(Ineligible::Limited { wait_ms: facts.limit_wait_ms });
+    }
     Ok(())
 }
--- a/crates/anvillift-fleet/src/rate_limit.rs
+++ b/crates/anvillift-fleet/src/rate_limit.rs
@@ -5,8 +5,9 @@
 
 use crate::decimal;
 
-/// The limit that the values of the field name, in requests per 1,000 seconds. `None` if
-/// no value is a number of 0 or more.
-pub fn per_1000_s<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Option<u64> {
-    values.into_iter().filter_map(decimal::parse_thousandths).min()
+/// The limit that the values of the field name, in requests per second. `None` if no value
+/// is a number of 0 or more.
+pub fn per_s<'a>(values: impl IntoIterator<Item = &'a [u8]>) -> Option<f64> {
+    let thousandths = values.into_iter().filter_map(decimal::parse_thousandths).min()?;
+    Some(thousandths as f64 / decimal::THOUSANDTHS as f64)
 }
--- a/crates/anvillift-fleet/src/worker_notices.rs
+++ b/crates/anvillift-fleet/src/worker_notices.rs
@@ -8,6 +8,7 @@
 
 use anvillift_schema::name::Name;
 
+use crate::limit_share::SharedLimit;
 use crate::worker_table::WorkerTable;
 
 /// One start of a worker.
@@ -20,7 +21,7 @@
 }
 
 /// What a worker has said about new requests.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct WorkerNotice {
     /// Time of the first answer that said that the worker is leaving.
     pub leaving_since_ms: Option<u64>,
@@ -28,9 +29,8 @@
     pub pause_asked_ms: u64,
     /// Time until which the worker wants no requests; 0 if it never asked for a pause.
     pub paused_until_ms: u64,
-    /// Requests per 1,000 seconds that it takes from all hosts together; `None` without
-    /// a limit.
-    pub limit_per_1000_s: Option<u64>,
+    /// Its limit on the requests of all hosts together; `None` without one.
+    pub limit: Option<SharedLimit>,
     /// Time of the last answer that named the limit.
     pub limit_named_ms: u64,
 }
@@ -67,22 +67,26 @@
         notice.paused_until_ms = notice.paused_until_ms.max(now_ms.saturating_add(pause_ms));
     }
 
-    /// Records an answer that names a limit. Returns whether the limit is new.
-    pub fn record_limit(&mut self, now_ms: u64, worker: &WorkerStart, per_1000_s: u64) -> bool {
+    /// Records an answer that names a limit, in requests per second. Returns whether
+    /// the limit is new.
+    pub fn record_limit(&mut self, now_ms: u64, worker: &WorkerStart, rate_per_s: f64) -> bool {
         let notice = self.notices.entry(worker.clone()).or_default();
         notice.limit_named_ms = now_ms;
-        notice.limit_per_1000_s.replace(per_1000_s) != Some(per_1000_s)
+        let limit = SharedLimit { rate_per_s, ended_ms: None };
+        notice.limit.replace(limit) != Some(limit)
     }
 
     /// Records an answer without a limit to a request that was sent at `sent_ms`. It ends
     /// the limit unless the limit was named after the request was sent, since answers
     /// may overtake each other. Returns whether it does.
-    pub fn record_no_limit(&mut self, worker: &WorkerStart, sent_ms: u64) -> bool {
+    pub fn record_no_limit(&mut self, now_ms: u64, worker: &WorkerStart, sent_ms: u64) -> bool {
         let Some(notice) = self.notices.get_mut(worker) else { return false };
-        if sent_ms <= notice.limit_named_ms {
+        let Some(limit) = notice.limit.as_mut() else { return false };
+        if sent_ms <= notice.limit_named_ms || limit.ended_ms.is_some() {
             return false;
         }
-        notice.limit_per_1000_s.take().is_some()
+        limit.ended_ms = Some(now_ms);
+        true
     }
 
     /// What a worker has said; the default if it has said nothing.
@@ -99,7 +103,7 @@
                 .is_some_and(|entry| entry.report.born_ms == worker.born_ms && !entry.has_left());
             let says_something = notice.leaving_since_ms.is_some()
                 || notice.is_paused(now_ms)
-                || notice.limit_per_1000_s.is_some();
+                || notice.limit.is_some_and(|limit| !limit.is_over(now_ms));
             is_current && says_something
         });
     }
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod event_position;
 mod health;
 mod in_flight;
+mod limit_share;
 mod notices;
 mod prefixes;
 mod region_contact;
--- a/crates/anvillift-fleet/tests/testsuite/notices.rs
+++ b/crates/anvillift-fleet/tests/testsuite/notices.rs
@@ -143,6 +143,7 @@
         now_ms: NOW_MS,
         worker: workers.get("a").expect("a worker"),
         notice,
+        limit_wait_ms: 0,
         evacuated: &evacuated,
         tried: &tried,
         version_constraint: &VersionConstraint::Any,
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -5,9 +5,9 @@
 
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
-    AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, PrefixCounts, Prompt,
-    PromptSpeed, RetryShare, RetryShareSettings, ServedParts, WorkerHealth, WorkerHealthSettings,
-    WorkerNotices,
+    AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, LimitShare, PrefixCounts,
+    Prompt, PromptSpeed, RetryShare, RetryShareSettings, ServedParts, WorkerHealth,
+    WorkerHealthSettings, WorkerNotices, WorkerStart,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -31,6 +31,8 @@
     pub(crate) notices: WorkerNotices,
     /// Parts of the prompts that this host has served.
     pub(crate) served_parts: ServedParts,
+    /// This host's share of the limits that workers have named.
+    pub(crate) limit_share: LimitShare,
     in_flight_table: InFlightTable,
     /// Timeouts for the response head, from the recent latencies of each route.
     pub(crate) answer_timeouts: AnswerTimeouts,
@@ -49,6 +51,7 @@
             prompt_speeds: BTreeMap::new(),
             notices: WorkerNotices::default(),
             served_parts: ServedParts::default(),
+            limit_share: LimitShare::default(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
@@ -83,6 +86,13 @@
         self.in_flight_table.begin(worker, prompt)
     }
 
+    /// Records that a request is sent to a worker, if the worker has named a limit.
+    pub(crate) fn limited_request_sent(&mut self, now_ms: u64, worker: &WorkerStart) {
+        if self.notices.get(worker).limit.is_some() {
+            self.limit_share.record_sent(now_ms, worker);
+        }
+    }
+
     /// Records that bytes arrived from a worker.
     pub(crate) fn bytes_received(&mut self, now_ms: u64, worker: &Name) {
         if let Some(health) = self.health.get_mut(worker) {
@@ -142,6 +152,8 @@
             |name: &Name| view.workers.get(name).is_some() || view.hosts.get(name).is_some();
         self.health.retain(|name, _| is_known(name));
         self.notices.remove_stale(clock::now_ms(), &view.workers);
+        let notices = &self.notices;
+        self.limit_share.retain(|worker| notices.get(worker).limit.is_some());
         if let Some(configuration) = &view.configuration {
             let routes = &configuration.routes;
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -1,8 +1,8 @@
 //! Sequence of attempts for a request: picks targets, decides whether to try
 //! another one, and records the start and end of each attempt.
 
-use anvillift_fleet::retry_decision;
 use anvillift_fleet::retry_decision::{AttemptEnd, FinalOutcome, NextStep};
+use anvillift_fleet::{WorkerStart, retry_decision};
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -101,8 +101,12 @@
         attempts.attempt_count += 1;
         attempts.tried.insert(target.name.clone());
         let began_ms = clock::now_ms();
-        let in_flight =
-            self.dispatch.borrow_mut().request_sent(began_ms, &target.name, &request.prompt);
+        let mut dispatch = self.dispatch.borrow_mut();
+        if !target.is_host {
+            let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
+            dispatch.limited_request_sent(began_ms, &worker);
+        }
+        let in_flight = dispatch.request_sent(began_ms, &target.name, &request.prompt);
         StartedAttempt { target, in_flight, began_ms }
     }
 
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -191,7 +191,7 @@
         if origin == Origin::Caller {
             self.dispatch.borrow_mut().retries.record_request(arrived_ms, &request.service);
             let is_satisfied = |view: &FleetView| {
-                self.has_free_worker(view, &request) || self.is_paused_by_workers(view, &request)
+                self.has_free_worker(view, &request) || self.is_declined_by_workers(view, &request)
             };
             let waited =
                 self.wait_until(connection, &request.id, caller_timeout_ms, is_satisfied).await;
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod attempts;
 mod crashes;
 mod dispatch_state;
+mod eligible;
 mod forward;
 mod frames;
 mod front;
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -1,21 +1,21 @@
 //! Notices of workers: reads from each answer whether the worker is leaving, wants a
-//! pause or names a limit, and answers requests for which every worker has asked for a pause.
+//! pause or names a limit, and answers requests that every worker declines for that.
 
 use std::collections::BTreeSet;
 
-use anvillift_fleet::eligibility::{EligibilityFacts, Ineligible};
-use anvillift_fleet::{VersionConstraint, WorkerStart, eligibility, rate_limit, retry_after};
+use anvillift_fleet::eligibility::Ineligible;
+use anvillift_fleet::{VersionConstraint, WorkerEntry, WorkerStart, rate_limit, retry_after};
 use anvillift_http::ResponseHead;
 use anvillift_schema::event::Event;
 use rand::Rng;
 
 use crate::clock;
 use crate::dialect::LEAVING_VALUE;
-use crate::entry::Entry;
 use crate::entry::attempts::Attempts;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
+use crate::entry::{Entry, eligible};
 use crate::fleet_view::FleetView;
 
 /// Pause from which on operators are warned, in milliseconds.
@@ -25,6 +25,19 @@
 /// Longest part of a malformed field that is logged, in bytes.
 const MAX_LOGGED_BYTES: usize = 64;
 
+/// Longest time after which a caller is told to come back while workers keep to limits,
+/// in milliseconds. Other hosts have their turns sooner than this one.
+const MAX_LIMITED_RETRY_MS: u64 = 2_000;
+
+/// Why a worker takes no request from this host for a time.
+#[derive(Clone, Copy, Debug)]
+enum Declined {
+    /// It has asked for a pause.
+    Paused { remaining_ms: u64 },
+    /// It has named a limit, and this host has no turn.
+    Limited { wait_ms: u64 },
+}
+
 impl Entry {
     /// Records what the head of an answer says about new requests to its worker. The
     /// head of another host's answer tells about a worker of that host's region.
@@ -63,7 +76,7 @@
     fn record_limit(&self, request: &Request, worker: &WorkerStart, head: &ResponseHead) {
         let field = self.node.dialect.headers.rate_limit;
         let values = head.headers.all(field).map(AsRef::as_ref);
-        let Some(per_1000_s) = rate_limit::per_1000_s(values) else {
+        let Some(rate_per_s) = rate_limit::per_s(values) else {
             log::warn!(
                 event = Event::LimitUnreadable.number(), id = request.id.as_str(),
                 worker = worker.id.as_str(), value = logged_value(head, field);
@@ -72,13 +85,13 @@
             return;
         };
         let now_ms = clock::now_ms();
-        if self.dispatch.borrow_mut().notices.record_limit(now_ms, worker, per_1000_s) {
-            log_limit(request, worker, Some(per_1000_s));
+        if self.dispatch.borrow_mut().notices.record_limit(now_ms, worker, rate_per_s) {
+            log_limit(request, worker, Some(rate_per_s));
         }
     }
 
     fn record_no_limit(&self, request: &Request, worker: &WorkerStart, sent_ms: u64) {
-        if self.dispatch.borrow_mut().notices.record_no_limit(worker, sent_ms) {
+        if self.dispatch.borrow_mut().notices.record_no_limit(clock::now_ms(), worker, sent_ms) {
             log_limit(request, worker, None);
         }
     }
@@ -115,72 +128,84 @@
     }
 
     /// The answer to a request that certainly has not run and finds no worker. If
-    /// workers have asked for a pause, its caller is told to come back when one of them
+    /// workers take none for a time, its caller is told to come back when one of them
     /// takes requests again.
     pub(super) fn refusal(&self, request: &Request, attempts: &Attempts) -> RequestFailure {
         if let Some(failure) = self.quarantine_refusal(request) {
             return failure;
         }
         let view = self.node.view.borrow();
-        let remaining_ms = self.remaining_pauses_ms(&view, request, &attempts.version_constraint);
-        if remaining_ms.is_empty() {
+        let declined = self.declined_by_workers(&view, request, &attempts.version_constraint);
+        if declined.is_empty() {
             return RequestFailure::NO_WORKER;
         }
-        metrics::counter!("anvillift_rejected_for_pause_total").increment(1);
         let mut dispatch = self.dispatch.borrow_mut();
-        let pause_ms = remaining_ms[dispatch.rng.random_range(0..remaining_ms.len())];
         let spread_ms = dispatch.rng.random_range(0..=RETURN_SPREAD_MS);
-        RequestFailure::paused(pause_ms.saturating_add(spread_ms))
+        match declined[dispatch.rng.random_range(0..declined.len())] {
+            Declined::Paused { remaining_ms } => {
+                metrics::counter!("anvillift_rejected_for_pause_total").increment(1);
+                RequestFailure::paused(remaining_ms.saturating_add(spread_ms))
+            }
+            Declined::Limited { wait_ms } => {
+                metrics::counter!("anvillift_rejected_for_limit_total").increment(1);
+                RequestFailure::limited(wait_ms.min(MAX_LIMITED_RETRY_MS) + spread_ms)
+            }
+        }
     }
 
-    /// Whether workers in `view` could take a request if they had not asked for a pause.
-    pub(super) fn is_paused_by_workers(&self, view: &FleetView, request: &Request) -> bool {
-        !self.remaining_pauses_ms(view, request, &request.version_constraint).is_empty()
+    /// Whether workers in `view` could take a request if they had not asked for a pause
+    /// or named a limit.
+    pub(super) fn is_declined_by_workers(&self, view: &FleetView, request: &Request) -> bool {
+        !self.declined_by_workers(view, request, &request.version_constraint).is_empty()
     }
 
-    /// Remaining pauses of the workers that could take a request otherwise, in
-    /// milliseconds.
-    fn remaining_pauses_ms(
+    /// The workers that could take a request otherwise and take none for a time.
+    fn declined_by_workers(
         &self,
         view: &FleetView,
         request: &Request,
         version_constraint: &VersionConstraint,
-    ) -> Vec<u64> {
+    ) -> Vec<Declined> {
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
+        let region_hosts = self.region_hosts(view);
         // A worker that has rejected this request counts, too.
         let untried = BTreeSet::new();
-        let own_region = &self.node.settings.region;
-        let remaining_ms = |worker| {
-            let facts = EligibilityFacts {
-                now_ms,
+        let declined = |worker: &WorkerEntry| {
+            let checked = eligible::check(
+                view,
+                &dispatch,
+                &region_hosts,
                 worker,
-                notice: dispatch.notices.get(&worker.start()),
-                evacuated: &view.control.evacuated,
-                tried: &untried,
+                &untried,
                 version_constraint,
-            };
-            match eligibility::check(&facts) {
-                Err(Ineligible::Paused { until_ms }) => Some(until_ms - now_ms),
+            );
+            match checked {
+                Err(Ineligible::Paused { until_ms }) => {
+                    Some(Declined::Paused { remaining_ms: until_ms - now_ms })
+                }
+                Err(Ineligible::Limited { wait_ms }) => Some(Declined::Limited { wait_ms }),
                 _ => None,
             }
         };
-        let workers = self.ready_workers(view, request, own_region);
-        workers.into_iter().filter_map(remaining_ms).collect()
+        let workers = self.ready_workers(view, request, &self.node.settings.region);
+        workers.into_iter().filter_map(declined).collect()
     }
 
     /// Exports how many workers are leaving and paused, as this host knows.
     pub(super) fn export_notice_metrics(&self) {
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
-        let (mut leaving, mut paused, mut paused_long) = (0_u32, 0_u32, 0_u32);
+        let (mut leaving, mut paused, mut paused_long, mut limited) = (0_u32, 0_u32, 0_u32, 0_u32);
         for (_, notice) in dispatch.notices.iter() {
             leaving += u32::from(notice.leaving_since_ms.is_some());
             paused += u32::from(notice.is_paused(now_ms));
             paused_long += u32::from(notice.paused_until_ms > now_ms + LONG_PAUSE_MS);
+            limited += u32::from(notice.limit.is_some_and(|limit| limit.ended_ms.is_none()));
         }
         metrics::gauge!("anvillift_workers_leaving").set(f64::from(leaving));
         metrics::gauge!("anvillift_workers_paused").set(f64::from(paused));
+        metrics::gauge!("anvillift_workers_limited").set(f64::from(limited));
         metrics::gauge!("anvillift_workers_paused_long").set(f64::from(paused_long));
     }
 }
@@ -191,12 +216,12 @@
     value.chars().take(MAX_LOGGED_BYTES).collect()
 }
 
-fn log_limit(request: &Request, worker: &WorkerStart, per_1000_s: Option<u64>) {
+fn log_limit(request: &Request, worker: &WorkerStart, rate_per_s: Option<f64>) {
     log::info!(
         event = Event::WorkerNamesLimit.number(), id = request.id.as_str(),
         worker = worker.id.as_str(), born_ms = worker.born_ms,
-        is_limited = per_1000_s.is_some(),
-        limit_per_s = per_1000_s.unwrap_or_default() as f64 / 1_000.0;
+        is_limited = rate_per_s.is_some(),
+        limit_per_s = rate_per_s.unwrap_or_default();
         "limit that a worker names has changed"
     );
 }
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -41,6 +41,12 @@
         Self { is_spread: true, ..Self::retryable(Code::UpstreamsPaused, retry_after_ms) }
     }
 
+    /// Every worker has named a limit, and this host has no turn; the time is already
+    /// spread.
+    pub(crate) const fn limited(retry_after_ms: u64) -> Self {
+        Self { is_spread: true, ..Self::retryable(Code::UpstreamsLimited, retry_after_ms) }
+    }
+
     /// The prompt has parts that crash workers.
     pub(crate) const fn quarantined(retry_after_ms: u64) -> Self {
         Self::retryable(Code::PromptQuarantined, retry_after_ms)
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -9,28 +9,22 @@
 use std::net::SocketAddr;
 
 use anvillift_fleet::choose::{Candidate, Degradation};
-use anvillift_fleet::eligibility::EligibilityFacts;
 use anvillift_fleet::spill::SpillReason;
-use anvillift_fleet::{
-    LimitSharers, VersionConstraint, WorkerEntry, choose, eligibility, spill, start_wait, subset,
-};
+use anvillift_fleet::{VersionConstraint, WorkerEntry, choose, spill, start_wait, subset};
 use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
 
 use crate::clock;
-use crate::entry::Entry;
 use crate::entry::attempts::Attempts;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::target_reason::TargetReason;
+use crate::entry::{Entry, eligible};
 use crate::fleet_view::FleetView;
 
 /// Fraction of a cold worker's configured rate that the entry hosts use together.
 const COLD_RATE_FRACTION: f64 = 0.9;
-/// Time after the start of this host by which it has received the names of all
-/// entry hosts of its region, in milliseconds.
-const ALL_HOSTS_DISCOVERED_AFTER_MS: u64 = 5_000;
 /// Most connections to one other entry host.
 const MAX_HOST_CONNECTIONS: usize = 256;
 
@@ -109,23 +103,16 @@
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
         let region = &self.node.settings.region;
+        let region_hosts = self.region_hosts(view);
+        let (tried, versions) = (&attempts.tried, &attempts.version_constraint);
         let usable = view.workers.ready(&request.service).filter(|entry| {
-            let report = &entry.report;
-            let facts = EligibilityFacts {
-                now_ms,
-                worker: entry,
-                notice: dispatch.notices.get(&entry.start()),
-                evacuated: &view.control.evacuated,
-                tried: &attempts.tried,
-                version_constraint: &attempts.version_constraint,
-            };
-            self.node.settings.region_of(&report.data_centre) == Some(region)
-                && eligibility::check(&facts).is_ok()
+            self.node.settings.region_of(&entry.report.data_centre) == Some(region)
+                && eligible::check(view, &dispatch, &region_hosts, entry, tried, versions).is_ok()
         });
         let usable: Vec<&WorkerEntry> = usable.collect();
-        let hosts = view.hosts.entry_names_in(region);
         let ids = usable.iter().map(|entry| &entry.report.id);
-        let preferred = subset::preferred(ids, &hosts, &self.node.own_host().name);
+        let own_name = self.node.own_host().name;
+        let preferred = subset::preferred(ids, region_hosts.names(), &own_name);
         let candidate = |entry: &&WorkerEntry| Candidate {
             worker: entry.report.id.clone(),
             in_flight: dispatch.in_flight(&entry.report.id),
@@ -149,28 +136,23 @@
         let configuration = view.configuration.as_ref()?;
         let service = configuration.services.get(&request.service)?;
         let settings = &self.node.settings;
-        let hosts = view.hosts.entry_names_in(&settings.region);
-        let own_name = self.node.own_host().name;
-        let has_discovered_all_hosts = now_ms >= self.started_ms + ALL_HOSTS_DISCOVERED_AFTER_MS;
-        let limit_sharers =
-            LimitSharers { own_name: &own_name, hosts: &hosts, has_discovered_all_hosts };
+        let region_hosts = self.region_hosts(view);
         let cold_per_s = service.cold_per_s * settings.cold_factor + settings.cold_extra;
-        let may_use_share = view.hosts.may_use_share(now_ms);
         let mut allowed = candidates.filter(|candidate| {
             !candidate.is_cold
                 || service.cold_per_s <= 0.0
-                || may_use_share
+                || region_hosts.may_use_share
                     && self.dispatch.borrow_mut().cold.take(
                         now_ms,
                         &candidate.worker,
                         cold_per_s * COLD_RATE_FRACTION,
-                        &limit_sharers,
+                        &region_hosts.sharers(),
                     )
         });
         let chosen = allowed.next()?;
         let report = &view.workers.get(&chosen.worker)?.report;
         let address = report.address.parse().ok()?;
-        let connection_share = service.connection_limit as usize / (hosts.len() + 1);
+        let connection_share = service.connection_limit as usize / (region_hosts.names().len() + 1);
         Some(Target {
             name: chosen.worker.clone(),
             address,
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -59,6 +59,7 @@
     StreamUnknown = 1307, 503, NotRun, "It is not known which version began the stream";
     UpstreamsPaused = 1308, 503, NotRun, "All upstreams have asked for a pause";
     PromptQuarantined = 1309, 503, NotRun, "The prompt has a part that crashes upstreams";
+    UpstreamsLimited = 1310, 503, NotRun, "All upstreams have named a limit that is reached";
     UpstreamUnreachable = 1401, 502, NotRun, "The upstream could not be reached";
     UpstreamFailed = 1402, 502, Unknown, "The upstream broke off";
     UpstreamTimeout = 1403, 504, Unknown, "The upstream did not answer in time";
