Give up heads without end in place of an answer

Cause: other heads were skipped without a bound. While bytes were always ready, the branch that reads used up its task's budget, so that the deadline beside it was never looked at.

Change: after 16 other heads the attempt has failed; and the deadline is a timeout around the attempt, which fires also while bytes keep coming.

Evidence: platform/tests endless, interim_heads: failed before (the test did not end within ten minutes), passes now.

--- a/crates/anvillift-http/src/error.rs
+++ b/crates/anvillift-http/src/error.rs
@@ -18,6 +18,12 @@
         /// Limit for the head, in bytes.
         limit_bytes: usize,
     },
+    /// Heads of other messages keep arriving in place of the one that is expected.
+    #[snafu(display("more than {limit} other heads before that of the answer"))]
+    TooManyHeads {
+        /// Limit for the other heads.
+        limit: u32,
+    },
     /// The body exceeds the limit.
     #[snafu(display("body larger than {limit_bytes} bytes"))]
     BodyTooLarge {
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -21,6 +21,8 @@
 const REMOTE_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Largest accepted head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Most interim responses and late responses to earlier requests that are skipped.
+const MAX_SKIPPED_HEADS: u32 = 16;
 /// Largest body of a late response to an earlier request that is skipped, in bytes.
 const MAX_SKIPPED_BODY_BYTES: u64 = 1024 * 1024;
 /// Header field of a request forwarded by an entry host of another region, with
@@ -70,20 +72,20 @@
         response_timeout_ms: u64,
         can_switch: impl Fn() -> bool,
     ) -> AttemptOutcome {
-        let mut sending = pin!(self.send_request(request, target, resume_after));
-        let mut deadline = pin!(time::sleep(Duration::from_millis(request.remaining_ms())));
+        // Unlike a branch of the `select!`, a timeout also fires while bytes keep arriving
+        // without a pause.
+        let remaining = Duration::from_millis(request.remaining_ms());
+        let sending = time::timeout(remaining, self.send_request(request, target, resume_after));
+        let mut sending = pin!(sending);
         let mut response_timeout = pin!(time::sleep(Duration::from_millis(response_timeout_ms)));
         let mut is_timeout_armed = true;
         loop {
             tokio::select! {
                 biased;
-                outcome = &mut sending => return outcome,
-                () = &mut deadline => {
-                    return AttemptOutcome::NoResponse(
-                        AttemptEnd::TimedOut,
-                        "no response by the deadline".to_owned(),
-                    );
-                }
+                outcome = &mut sending => return outcome.unwrap_or_else(|_| {
+                    let reason = "no response by the deadline".to_owned();
+                    AttemptOutcome::NoResponse(AttemptEnd::TimedOut, reason)
+                }),
                 () = &mut response_timeout, if is_timeout_armed => {
                     is_timeout_armed = false;
                     if can_switch() {
@@ -250,6 +252,7 @@
     on_head: impl Fn(&ResponseHead),
 ) -> Result<ResponseHead, HttpError> {
     *sent_bytes += connection.try_write(bytes)?;
+    let mut skipped_heads = 0;
     loop {
         while let Some(head) = connection.parse_response(MAX_HEAD_BYTES)? {
             on_head(&head);
@@ -259,6 +262,10 @@
             if !is_interim && !is_for_other_request {
                 return Ok(head);
             }
+            skipped_heads += 1;
+            if skipped_heads > MAX_SKIPPED_HEADS {
+                return Err(HttpError::TooManyHeads { limit: MAX_SKIPPED_HEADS });
+            }
             if is_for_other_request {
                 skip_body(connection, &head, &request.head.method).await?;
             }
