Give up events without end, and relays past their deadline

Cause: a resumable stream's incomplete event was collected without a bound, and the deadline of a relay was looked at only when no bytes were ready.

Change: an event above 256 KiB ends the stream as truncated, which resumes it elsewhere where that is allowed; a relay past its deadline ends before it reads on.

--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -22,6 +22,9 @@
 use crate::entry::upstream_response::UpstreamResponse;
 use crate::entry::{Entry, answer_log};
 
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: u64 = 256 * 1024;
+
 /// Next step of a relay.
 enum RelayStep {
     Data(Bytes),
@@ -147,12 +150,18 @@
         writer: &ResponseWriter,
     ) -> RelayStep {
         let remaining = Duration::from_millis(request.remaining_ms());
+        if remaining.is_zero() {
+            return RelayStep::Abandoned(AnswerOutcome::TimedOut);
+        }
         let read_timeout = self
             .stall_timeout(request, attempts, writer)
             .map_or(remaining, |timeout| timeout.min(remaining));
         tokio::select! {
             biased;
             read = time::timeout(read_timeout, upstream.next_data()) => match read {
+                Ok(Ok(Some(_))) if upstream.partial_bytes() > MAX_EVENT_BYTES => {
+                    RelayStep::Truncated(format!("event larger than {MAX_EVENT_BYTES} bytes"))
+                }
                 Ok(Ok(Some(data))) => RelayStep::Data(data),
                 Ok(Ok(None)) => match upstream.check_end() {
                     Ok(()) => RelayStep::Complete,
