--- a/crates/anvillift-node/src/core/crashes.rs
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -1,10 +1,10 @@
 //! Crashes of workers on a core host, which entry hosts report, and the decision which
 //! parts of prompts are quarantined.
 
-use anvillift_fleet::{ConfirmedCrash, QUARANTINE_MS, WorkerStart};
+use anvillift_fleet::{ConfirmedCrash, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetQuarantine, FleetServedParts,
+    FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetServedParts,
 };
 use anvillift_schema::name::Name;
 
@@ -58,20 +58,14 @@
             self.ask_about_parts(questions);
         }
         if let Some(parts) = decided {
-            let parts = parts.into_iter().collect();
-            let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
-            self.node.add_quarantine(&entry, &self.node.own_host().name);
+            self.node.quarantine_parts(parts);
         }
     }
 
     /// Forgets old crashes and ended quarantines.
     pub(super) fn remove_old_crashes(&self) {
-        let now_ms = clock::now_ms();
-        self.crash_evidence.borrow_mut().remove_old(now_ms);
-        let mut view = self.node.view.borrow_mut();
-        view.quarantine.remove_ended(now_ms);
-        let entries = view.quarantine.iter(now_ms).count();
-        metrics::gauge!("anvillift_quarantined_parts").set(entries as f64);
+        self.crash_evidence.borrow_mut().remove_old(clock::now_ms());
+        self.node.remove_ended_quarantine();
     }
 
     fn ask_about_parts(&self, parts: Vec<u64>) {
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -144,9 +144,7 @@
             FleetFrame::StreamWanted(query) => self.on_stream_query(from, &query),
             FleetFrame::Crashes(crashes) => self.on_crashes(from, crashes),
             FleetFrame::PartsServed(served) => self.on_parts_served(&served),
-            FleetFrame::Quarantine(entry) => {
-                self.node.add_quarantine(&entry, from);
-            }
+            FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
             // A core host takes the control state from its log and sums up the loads
             // itself.
             FleetFrame::Control(_)
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -10,11 +10,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{ConfirmedCrash, QUARANTINE_MS, WorkerStart};
+use anvillift_fleet::{ConfirmedCrash, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetCrash, FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetQuarantine,
-    FleetServedPart, FleetServedParts,
+    FleetCrash, FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetServedPart,
+    FleetServedParts,
 };
 use anvillift_schema::name::Name;
 use tokio::{task, time};
@@ -174,12 +174,8 @@
 
     /// Forgets old crashes and ended quarantines.
     pub(super) fn remove_old_crashes(&self) {
-        let now_ms = clock::now_ms();
-        self.crash_evidence.borrow_mut().remove_old(now_ms);
-        let mut view = self.node.view.borrow_mut();
-        view.quarantine.remove_ended(now_ms);
-        let entries = view.quarantine.iter(now_ms).count();
-        metrics::gauge!("anvillift_quarantined_parts").set(entries as f64);
+        self.crash_evidence.borrow_mut().remove_old(clock::now_ms());
+        self.node.remove_ended_quarantine();
     }
 
     fn decide_alone(&self, now_ms: u64) {
@@ -201,9 +197,7 @@
             evidence.decide(now_ms, quarantine)
         };
         if let Some(parts) = decided {
-            let parts = parts.into_iter().collect();
-            let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
-            self.node.add_quarantine(&entry, &self.node.own_host().name);
+            self.node.quarantine_parts(parts);
         }
     }
 
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -48,9 +48,7 @@
             }
             FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
             FleetFrame::PartsWanted(wanted) => self.answer_parts_wanted(from, &wanted),
-            FleetFrame::Quarantine(entry) => {
-                self.node.add_quarantine(&entry, from);
-            }
+            FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
             FleetFrame::Consensus(_)
             | FleetFrame::Crashes(_)
             | FleetFrame::PartsServed(_)
--- a/crates/anvillift-node/src/quarantine.rs
+++ b/crates/anvillift-node/src/quarantine.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 
+use anvillift_fleet::QUARANTINE_MS;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetQuarantine};
 use anvillift_schema::name::Name;
@@ -11,14 +12,21 @@
 use crate::node::Node;
 
 impl Node {
+    /// Quarantines parts that this host has found to crash workers.
+    pub(crate) fn quarantine_parts(&self, parts: BTreeSet<u64>) {
+        let parts = parts.into_iter().collect();
+        let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
+        self.add_quarantine(&entry, &self.own_host().name);
+    }
+
     /// Adds an entry that another host, or this one, has found. If it is new, the other
     /// linked hosts are told.
-    pub(crate) fn add_quarantine(&self, entry: &FleetQuarantine, from: &Name) -> bool {
+    pub(crate) fn add_quarantine(&self, entry: &FleetQuarantine, from: &Name) {
         let parts: BTreeSet<u64> = entry.parts.iter().copied().collect();
         let now_ms = clock::now_ms();
         let is_new = self.view.borrow_mut().quarantine.add(now_ms, parts, entry.remaining_ms);
         if !is_new {
-            return false;
+            return;
         }
         log::warn!(
             event = Event::PartsQuarantined.number(), parts = parts_text(&entry.parts),
@@ -32,7 +40,15 @@
                 hub.send(&name, FleetFrame::Quarantine(entry.clone()));
             }
         }
-        true
+    }
+
+    /// Removes the entries that have ended, and exports how many are left.
+    pub(crate) fn remove_ended_quarantine(&self) {
+        let now_ms = clock::now_ms();
+        let mut view = self.view.borrow_mut();
+        view.quarantine.remove_ended(now_ms);
+        let entries = view.quarantine.iter(now_ms).count();
+        metrics::gauge!("anvillift_quarantined_parts").set(entries as f64);
     }
 
     /// Tells a host whose link has come up what is quarantined.
