Send brittle workers no more than they have room for

Cause: hosts learn of a worker's room by its rejections, and rejections are what makes a brittle worker fall. The statement in its answers was not read.

Change: while a worker, or others of its service that it has not been heard beside, say so, each host sends it no more than its share of the slots, pauses 10 ms between two requests, and waits after a rejection so that all hosts stay at half of what it bears (room_share, checked in eligibility on every way to a worker). Above that a request goes to another region or is refused at once (1302), not run, with a time to come back. The statement belongs to the start of the worker and ends with a later answer without it.

--- a/crates/anvillift-fleet/src/cold_share.rs
+++ b/crates/anvillift-fleet/src/cold_share.rs
@@ -42,6 +42,12 @@
         }
     }
 
+    /// Number of hosts that rank before this one for a key.
+    pub(crate) fn ranked_before(&self, key: u64) -> usize {
+        let own_rank = rendezvous::rank(key, self.own_name);
+        self.hosts.iter().filter(|host| rendezvous::rank(key, host) < own_rank).count()
+    }
+
     /// Requests per second that this host may send, of `limit` for all hosts together.
     fn own_share(&self, worker: &str, limit: f64) -> usize {
         let share = (limit / self.count() as f64).floor() as usize;
@@ -49,10 +55,7 @@
             return share;
         }
         let key = rendezvous::hash(worker.as_bytes());
-        let rank = |host: &str| rendezvous::rank(key, host);
-        let own_rank = rank(self.own_name);
-        let hosts_ranked_before = self.hosts.iter().filter(|host| rank(host) < own_rank).count();
-        usize::from((hosts_ranked_before as f64) < limit.floor())
+        usize::from((self.ranked_before(key) as f64) < limit.floor())
     }
 }
 
--- a/crates/anvillift-fleet/src/eligibility.rs
+++ b/crates/anvillift-fleet/src/eligibility.rs
@@ -44,6 +44,9 @@
         /// Time until the next turn.
         wait_ms: u64,
     },
+    /// It is brittle, and this host's share of its room is used.
+    #[display("full")]
+    Full,
 }
 
 /// Facts about a request and a worker.
@@ -58,6 +61,8 @@
     /// Time until this host may send the worker a request under the limit that the worker
     /// has named, in milliseconds; 0 if it may now.
     pub limit_wait_ms: u64,
+    /// Whether this host's share of the room of the worker, if it is brittle, is not used.
+    pub has_room: bool,
     /// Data centres under evacuation.
     pub evacuated: &'a [Name],
     /// Workers to which the request was sent before.
@@ -90,5 +95,8 @@
     if facts.limit_wait_ms > 0 {
         return Err(Ineligible::Limited { wait_ms: facts.limit_wait_ms });
     }
+    if !facts.has_room {
+        return Err(Ineligible::Full);
+    }
     Ok(())
 }
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod retry_after;
 pub mod retry_decision;
 mod retry_share;
+pub mod room_share;
 mod route;
 mod route_table;
 pub mod seed;
--- a/crates/anvillift-fleet/src/limit_share.rs
+++ b/crates/anvillift-fleet/src/limit_share.rs
@@ -79,9 +79,7 @@
         let cycle_ms = hosts / rate_per_s * 1_000.0;
         let turns_at_once = (rate_per_s * TURNS_PER_RATE + MORE_TURNS).min(hosts);
         let key = rendezvous::hash(worker.id.as_bytes());
-        let own_rank = rendezvous::rank(key, sharers.own_name);
-        let before = |host: &&anvillift_schema::name::Name| rendezvous::rank(key, host) < own_rank;
-        let index = sharers.hosts.iter().filter(before).count() as f64;
+        let index = sharers.ranked_before(key) as f64;
         Self {
             cycle_ms,
             length_ms: cycle_ms * turns_at_once / hosts,
@@ -109,7 +107,7 @@
     }
 }
 
-/// The last request that this host has sent to each worker that named a limit.
+/// The last request that this host has sent to each worker.
 #[derive(Clone, Debug, Default)]
 pub struct LimitShare {
     last_sent_ms: BTreeMap<WorkerStart, u64>,
@@ -129,13 +127,18 @@
         turns.wait_ms(now_ms, self.last_sent_ms.get(worker).copied())
     }
 
-    /// Records that a request is sent to a worker that named a limit.
+    /// Time of the last request to a worker, in milliseconds.
+    pub fn last_sent_ms(&self, worker: &WorkerStart) -> Option<u64> {
+        self.last_sent_ms.get(worker).copied()
+    }
+
+    /// Records that a request is sent to a worker.
     pub fn record_sent(&mut self, now_ms: u64, worker: &WorkerStart) {
         self.last_sent_ms.insert(worker.clone(), now_ms);
     }
 
-    /// Keeps only what concerns workers with a limit.
-    pub fn retain(&mut self, has_limit: impl Fn(&WorkerStart) -> bool) {
-        self.last_sent_ms.retain(|worker, _| has_limit(worker));
+    /// Keeps only what concerns some workers.
+    pub fn retain(&mut self, is_kept: impl Fn(&WorkerStart) -> bool) {
+        self.last_sent_ms.retain(|worker, _| is_kept(worker));
     }
 }
--- a/crates/anvillift-fleet/src/worker_notices.rs
+++ b/crates/anvillift-fleet/src/worker_notices.rs
@@ -33,6 +33,13 @@
     pub limit: Option<SharedLimit>,
     /// Time of the last answer that named the limit.
     pub limit_named_ms: u64,
+    /// Rejections within a second above which it says that it falls over; `None` unless
+    /// it is brittle.
+    pub max_rejections_per_s: Option<f64>,
+    /// Time of the last answer that said so.
+    pub brittle_said_ms: u64,
+    /// Time of its last rejection while it was brittle.
+    pub last_rejected_ms: Option<u64>,
 }
 
 impl WorkerNotice {
@@ -89,6 +96,36 @@
         true
     }
 
+    /// Records an answer that says that the worker is brittle. Returns whether that, or
+    /// the number of rejections, is new.
+    pub fn record_brittle(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerStart,
+        max_rejections_per_s: f64,
+    ) -> bool {
+        let notice = self.notices.entry(worker.clone()).or_default();
+        notice.brittle_said_ms = now_ms;
+        notice.max_rejections_per_s.replace(max_rejections_per_s) != Some(max_rejections_per_s)
+    }
+
+    /// Records an answer that does not say that the worker is brittle, to a request that
+    /// was sent at `sent_ms`. Returns whether the worker was brittle before.
+    pub fn record_not_brittle(&mut self, worker: &WorkerStart, sent_ms: u64) -> bool {
+        let Some(notice) = self.notices.get_mut(worker) else { return false };
+        if sent_ms <= notice.brittle_said_ms {
+            return false;
+        }
+        notice.max_rejections_per_s.take().is_some()
+    }
+
+    /// Records that a brittle worker has rejected a request.
+    pub fn record_rejection(&mut self, now_ms: u64, worker: &WorkerStart) {
+        if let Some(notice) = self.notices.get_mut(worker) {
+            notice.last_rejected_ms = Some(now_ms);
+        }
+    }
+
     /// What a worker has said; the default if it has said nothing.
     pub fn get(&self, worker: &WorkerStart) -> WorkerNotice {
         self.notices.get(worker).copied().unwrap_or_default()
@@ -103,6 +140,7 @@
                 .is_some_and(|entry| entry.report.born_ms == worker.born_ms && !entry.has_left());
             let says_something = notice.leaving_since_ms.is_some()
                 || notice.is_paused(now_ms)
+                || notice.max_rejections_per_s.is_some()
                 || notice.limit.is_some_and(|limit| !limit.is_over(now_ms));
             is_current && says_something
         });
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod region_contact;
 mod retries;
 mod retry_decision;
+mod room_share;
 mod seed;
 mod spill;
 mod start_wait;
--- a/crates/anvillift-fleet/tests/testsuite/notices.rs
+++ b/crates/anvillift-fleet/tests/testsuite/notices.rs
@@ -144,6 +144,7 @@
         worker: workers.get("a").expect("a worker"),
         notice,
         limit_wait_ms: 0,
+        has_room: true,
         evacuated: &evacuated,
         tried: &tried,
         version_constraint: &VersionConstraint::Any,
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -35,6 +35,9 @@
     /// Requests per second that a worker takes from all hosts together, on each of its
     /// answers for as long as the limit holds.
     pub rate_limit: &'static str,
+    /// Rejections within a second above which a worker falls over, on each of its answers
+    /// while it is brittle.
+    pub brittle: &'static str,
     /// Fields that are removed from callers' requests, since only this system
     /// may set them.
     pub system_only: &'static [&'static str],
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -86,13 +86,6 @@
         self.in_flight_table.begin(worker, prompt)
     }
 
-    /// Records that a request is sent to a worker, if the worker has named a limit.
-    pub(crate) fn limited_request_sent(&mut self, now_ms: u64, worker: &WorkerStart) {
-        if self.notices.get(worker).limit.is_some() {
-            self.limit_share.record_sent(now_ms, worker);
-        }
-    }
-
     /// Records that bytes arrived from a worker.
     pub(crate) fn bytes_received(&mut self, now_ms: u64, worker: &Name) {
         if let Some(health) = self.health.get_mut(worker) {
@@ -152,8 +145,11 @@
             |name: &Name| view.workers.get(name).is_some() || view.hosts.get(name).is_some();
         self.health.retain(|name, _| is_known(name));
         self.notices.remove_stale(clock::now_ms(), &view.workers);
-        let notices = &self.notices;
-        self.limit_share.retain(|worker| notices.get(worker).limit.is_some());
+        let is_current = |worker: &WorkerStart| {
+            let entry = view.workers.get(&worker.id);
+            entry.is_some_and(|entry| entry.report.born_ms == worker.born_ms)
+        };
+        self.limit_share.retain(is_current);
         if let Some(configuration) = &view.configuration {
             let routes = &configuration.routes;
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -104,7 +104,7 @@
         let mut dispatch = self.dispatch.borrow_mut();
         if !target.is_host {
             let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
-            dispatch.limited_request_sent(began_ms, &worker);
+            dispatch.limit_share.record_sent(began_ms, &worker);
         }
         let in_flight = dispatch.request_sent(began_ms, &target.name, &request.prompt);
         StartedAttempt { target, in_flight, began_ms }
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -1,5 +1,5 @@
 //! Notices of workers: reads from each answer whether the worker is leaving, wants a
-//! pause or names a limit, and answers requests that every worker declines for that.
+//! pause, names a limit or is brittle, and answers requests that every worker declines for that.
 
 use std::collections::BTreeSet;
 
@@ -36,6 +36,8 @@
     Paused { remaining_ms: u64 },
     /// It has named a limit, and this host has no turn.
     Limited { wait_ms: u64 },
+    /// It is brittle, and this host's share of its room is used.
+    Full,
 }
 
 impl Entry {
@@ -63,6 +65,40 @@
         } else if self.is_answer_of_worker(request, head) {
             self.record_no_limit(request, &worker, sent_ms);
         }
+        self.record_brittleness(request, &worker, sent_ms, head);
+    }
+
+    /// Records whether a worker says that it is brittle, and its rejections if it is.
+    fn record_brittleness(
+        &self,
+        request: &Request,
+        worker: &WorkerStart,
+        sent_ms: u64,
+        head: &ResponseHead,
+    ) {
+        let field = self.node.dialect.headers.brittle;
+        let values = head.headers.all(field).map(AsRef::as_ref);
+        let now_ms = clock::now_ms();
+        let mut dispatch = self.dispatch.borrow_mut();
+        if let Some(max_rejections_per_s) = rate_limit::per_s(values) {
+            if dispatch.notices.record_brittle(now_ms, worker, max_rejections_per_s) {
+                log_brittle(request, worker, Some(max_rejections_per_s));
+            }
+        } else if head.headers.contains(field) {
+            log::warn!(
+                event = Event::LimitUnreadable.number(), id = request.id.as_str(),
+                worker = worker.id.as_str(), value = logged_value(head, field);
+                "rejections at which a worker falls over are no number; ignored"
+            );
+        } else if self.is_answer_of_worker(request, head)
+            && dispatch.notices.record_not_brittle(worker, sent_ms)
+        {
+            log_brittle(request, worker, None);
+        }
+        let is_rejection = head.headers.contains(self.node.dialect.headers.not_run);
+        if is_rejection && dispatch.notices.get(worker).max_rejections_per_s.is_some() {
+            dispatch.notices.record_rejection(now_ms, worker);
+        }
     }
 
     /// Whether a head is that of the worker's own answer to the request, rather than an
@@ -150,6 +186,10 @@
                 metrics::counter!("anvillift_rejected_for_limit_total").increment(1);
                 RequestFailure::limited(wait_ms.min(MAX_LIMITED_RETRY_MS) + spread_ms)
             }
+            Declined::Full => {
+                metrics::counter!("anvillift_rejected_for_room_total").increment(1);
+                RequestFailure::FULL
+            }
         }
     }
 
@@ -168,23 +208,18 @@
     ) -> Vec<Declined> {
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
-        let region_hosts = self.region_hosts(view);
+        let shared = self.shared_facts(view, &dispatch, &request.service);
         // A worker that has rejected this request counts, too.
         let untried = BTreeSet::new();
         let declined = |worker: &WorkerEntry| {
-            let checked = eligible::check(
-                view,
-                &dispatch,
-                &region_hosts,
-                worker,
-                &untried,
-                version_constraint,
-            );
+            let checked =
+                eligible::check(view, &dispatch, &shared, worker, &untried, version_constraint);
             match checked {
                 Err(Ineligible::Paused { until_ms }) => {
                     Some(Declined::Paused { remaining_ms: until_ms - now_ms })
                 }
                 Err(Ineligible::Limited { wait_ms }) => Some(Declined::Limited { wait_ms }),
+                Err(Ineligible::Full) => Some(Declined::Full),
                 _ => None,
             }
         };
@@ -196,15 +231,18 @@
     pub(super) fn export_notice_metrics(&self) {
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
-        let (mut leaving, mut paused, mut paused_long, mut limited) = (0_u32, 0_u32, 0_u32, 0_u32);
+        let (mut leaving, mut paused, mut paused_long) = (0_u32, 0_u32, 0_u32);
+        let (mut limited, mut brittle) = (0_u32, 0_u32);
         for (_, notice) in dispatch.notices.iter() {
             leaving += u32::from(notice.leaving_since_ms.is_some());
             paused += u32::from(notice.is_paused(now_ms));
             paused_long += u32::from(notice.paused_until_ms > now_ms + LONG_PAUSE_MS);
+            brittle += u32::from(notice.max_rejections_per_s.is_some());
             limited += u32::from(notice.limit.is_some_and(|limit| limit.ended_ms.is_none()));
         }
         metrics::gauge!("anvillift_workers_leaving").set(f64::from(leaving));
         metrics::gauge!("anvillift_workers_paused").set(f64::from(paused));
+        metrics::gauge!("anvillift_workers_brittle").set(f64::from(brittle));
         metrics::gauge!("anvillift_workers_limited").set(f64::from(limited));
         metrics::gauge!("anvillift_workers_paused_long").set(f64::from(paused_long));
     }
@@ -225,3 +263,13 @@
         "limit that a worker names has changed"
     );
 }
+
+fn log_brittle(request: &Request, worker: &WorkerStart, max_rejections_per_s: Option<f64>) {
+    log::info!(
+        event = Event::WorkerIsBrittle.number(), id = request.id.as_str(),
+        worker = worker.id.as_str(), born_ms = worker.born_ms,
+        is_brittle = max_rejections_per_s.is_some(),
+        max_rejections_per_s = max_rejections_per_s.unwrap_or_default();
+        "worker says otherwise than before whether it is brittle"
+    );
+}
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -25,6 +25,8 @@
     pub(crate) const NO_WORKER: Self = Self::retryable(Code::NoUpstream, 300);
     /// The backlog of prompts takes about this long to shrink.
     pub(crate) const OVERLOADED: Self = Self::retryable(Code::Overloaded, 1_400);
+    /// A brittle worker has room again when one of its requests ends.
+    pub(crate) const FULL: Self = Self::retryable(Code::Overloaded, 500);
     /// A core host that has just started takes about this long to find its leader.
     pub(crate) const NO_CONFIGURATION: Self = Self::retryable(Code::NotReady, 800);
     /// Other entry hosts can take the request at once.
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -103,16 +103,16 @@
         let now_ms = clock::now_ms();
         let dispatch = self.dispatch.borrow();
         let region = &self.node.settings.region;
-        let region_hosts = self.region_hosts(view);
+        let shared = self.shared_facts(view, &dispatch, &request.service);
         let (tried, versions) = (&attempts.tried, &attempts.version_constraint);
         let usable = view.workers.ready(&request.service).filter(|entry| {
             self.node.settings.region_of(&entry.report.data_centre) == Some(region)
-                && eligible::check(view, &dispatch, &region_hosts, entry, tried, versions).is_ok()
+                && eligible::check(view, &dispatch, &shared, entry, tried, versions).is_ok()
         });
         let usable: Vec<&WorkerEntry> = usable.collect();
         let ids = usable.iter().map(|entry| &entry.report.id);
         let own_name = self.node.own_host().name;
-        let preferred = subset::preferred(ids, region_hosts.names(), &own_name);
+        let preferred = subset::preferred(ids, shared.names(), &own_name);
         let candidate = |entry: &&WorkerEntry| Candidate {
             worker: entry.report.id.clone(),
             in_flight: dispatch.in_flight(&entry.report.id),
@@ -136,23 +136,23 @@
         let configuration = view.configuration.as_ref()?;
         let service = configuration.services.get(&request.service)?;
         let settings = &self.node.settings;
-        let region_hosts = self.region_hosts(view);
+        let shared = self.shared_facts(view, &self.dispatch.borrow(), &request.service);
         let cold_per_s = service.cold_per_s * settings.cold_factor + settings.cold_extra;
         let mut allowed = candidates.filter(|candidate| {
             !candidate.is_cold
                 || service.cold_per_s <= 0.0
-                || region_hosts.may_use_share
+                || shared.may_use_share
                     && self.dispatch.borrow_mut().cold.take(
                         now_ms,
                         &candidate.worker,
                         cold_per_s * COLD_RATE_FRACTION,
-                        &region_hosts.sharers(),
+                        &shared.sharers(),
                     )
         });
         let chosen = allowed.next()?;
         let report = &view.workers.get(&chosen.worker)?.report;
         let address = report.address.parse().ok()?;
-        let connection_share = service.connection_limit as usize / (region_hosts.names().len() + 1);
+        let connection_share = service.connection_limit as usize / (shared.names().len() + 1);
         Some(Target {
             name: chosen.worker.clone(),
             address,
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -83,6 +83,7 @@
     PromptQuarantined = 2719, "info", "A prompt was refused because its parts crash workers";
     WorkerNamesLimit = 2720, "info", "A worker named a limit on its requests, another one than before, or none any more";
     LimitUnreadable = 2721, "warn", "A worker named a limit that cannot be read";
+    WorkerIsBrittle = 2722, "info", "A worker said that it is brittle, or no longer so";
 }
 
 impl Event {
