Log which request an attempt is, by fingerprints

Each time a caller sends a request it has an id of its own, so no line shows that several attempts are of the same request: "one request ends each worker" can't be told from "workers end by the number of requests".

Change: two hashes with each attempt (2705) and each broken answer (2703): of method, host, path, query and body, and of these with the caller. A caller is its credentials, or its address if it states none; a host that forwards a request states the caller in a field of its own, which is removed from callers' requests. Nothing decides by it yet.

--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod crash_evidence;
 mod directory;
 mod event_position;
+mod fingerprint;
 mod health;
 mod in_flight;
 mod limit_share;
--- a/crates/anvillift-node/src/dialect.rs
+++ b/crates/anvillift-node/src/dialect.rs
@@ -38,6 +38,8 @@
     /// Rejections within a second above which a worker falls over, on each of its answers
     /// while it is brittle.
     pub brittle: &'static str,
+    /// Credentials of the caller. Empty if the platform has no such field.
+    pub credentials: &'static str,
     /// Fields that are removed from callers' requests, since only this system
     /// may set them.
     pub system_only: &'static [&'static str],
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -1,7 +1,9 @@
 //! Admission of a request: finds its route, service and deadline, and strips
 //! header fields that are not forwarded.
 
-use anvillift_fleet::{Prompt, VersionConstraint, choose};
+use std::net::IpAddr;
+
+use anvillift_fleet::{CallerId, Fingerprint, Prompt, RequestContent, VersionConstraint, choose};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -9,7 +11,9 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::entry::attempt::{FORWARDED_FROM_HEADER, NOT_RUN_HEADER, STREAM_VERSION_HEADER};
+use crate::entry::attempt::{
+    CALLER_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, STREAM_VERSION_HEADER,
+};
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
@@ -27,6 +31,7 @@
         mut head: RequestHead,
         body: Option<Bytes>,
         origin: Origin,
+        peer: Option<IpAddr>,
         arrived_ms: u64,
     ) -> Result<Request, RequestFailure> {
         let names = &self.node.dialect.headers;
@@ -51,6 +56,14 @@
         let service = service.unwrap_or_else(Name::default);
         let prompt = (self.node.dialect.decode_prompt)(&head.headers);
         let version_constraint = version_constraint(&head, origin);
+        let caller = self.caller_of(&head, origin, peer);
+        let content = RequestContent {
+            method: &head.method,
+            host,
+            target: &head.target,
+            body: body.as_deref().unwrap_or_default(),
+        };
+        let fingerprint = Fingerprint::of(&content, caller);
         let resumes = head.headers.get(names.resumes).map(Name::from);
         let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
@@ -63,6 +76,8 @@
             route,
             service,
             prompt,
+            caller,
+            fingerprint,
             affinity_key,
             version_constraint,
             origin,
@@ -73,6 +88,17 @@
         })
     }
 
+    /// The caller of a request; the host that forwards one states it.
+    fn caller_of(&self, head: &RequestHead, origin: Origin, peer: Option<IpAddr>) -> CallerId {
+        if origin == Origin::Host {
+            let stated = head.headers.get(CALLER_HEADER).and_then(CallerId::parse);
+            return stated.unwrap_or_default();
+        }
+        let field = self.node.dialect.headers.credentials;
+        let credentials = head.headers.all(field).next().filter(|_| !field.is_empty());
+        CallerId::of(credentials.map(AsRef::as_ref), peer)
+    }
+
     /// The affinity key of a prompt, which is counted if a caller of this host sent it.
     fn affinity_key(
         &self,
@@ -103,6 +129,7 @@
             names.expected_worker,
             names.engine_priority,
             FORWARDED_FROM_HEADER,
+            CALLER_HEADER,
             STREAM_VERSION_HEADER,
         ];
         let framing = ["content-length", "expect", NOT_RUN_HEADER];
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -36,6 +36,9 @@
 /// version that the receiving host must choose, in its answer the one that it chose.
 pub(crate) const STREAM_VERSION_HEADER: &str = "Anvillift-Stream-Version";
 
+/// Header field of a forwarded request with the identity of its caller.
+pub(crate) const CALLER_HEADER: &str = "Anvillift-Caller";
+
 /// A response whose head has been read, with the connection that carries the body.
 pub(crate) struct StartedResponse {
     pub(crate) lease: Lease,
@@ -214,6 +217,7 @@
         head.headers.push(names.deadline_ms, request.remaining_ms().max(1).to_string());
         if target.is_host {
             head.headers.push(FORWARDED_FROM_HEADER, self.node.settings.region.to_string());
+            head.headers.push(CALLER_HEADER, request.caller.to_string());
             if let Some(version) = &target.version {
                 head.headers.push(STREAM_VERSION_HEADER, version.to_string());
             }
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -270,6 +270,7 @@
         worker_born_ms = target.born_ms,
         worker_version = target.version.as_ref().map_or("", Name::as_str),
         resumes = request.resumes.as_ref().map_or("", Name::as_str), parts = request.parts_text(),
+        fingerprint = request.fingerprint_text(),
         age_ms = request.age_ms(), left_ms = request.remaining_ms(), version = request.version;
         "attempt"
     );
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -175,7 +175,8 @@
                 return ConnectionAction::Close;
             }
         }
-        let mut request = match self.admit(head, body, origin, arrived_ms) {
+        let peer = connection.peer().map(|address| address.ip());
+        let mut request = match self.admit(head, body, origin, peer, arrived_ms) {
             Ok(request) => request,
             Err(failure) => {
                 log::info!(
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -201,7 +201,8 @@
     log::warn!(
         event = Event::UpstreamFailed.number(), id = request.id.as_str(),
         from = target.name.as_str(), worker_born_ms = target.born_ms, reason = reason,
-        parts = request.parts_text(), age_ms = request.age_ms();
+        parts = request.parts_text(),
+        fingerprint = request.fingerprint_text(), age_ms = request.age_ms();
         "response stalled or truncated"
     );
 }
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvillift_fleet::{Prompt, Route, VersionConstraint};
+use anvillift_fleet::{CallerId, Fingerprint, Prompt, Route, VersionConstraint};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -28,6 +28,9 @@
     pub(crate) service: Name,
     /// Token counts and shared prefix of the prompt, as stated by the caller.
     pub(crate) prompt: Prompt,
+    /// Caller, as its connection or the forwarding host shows it.
+    pub(crate) caller: CallerId,
+    pub(crate) fingerprint: Fingerprint,
     /// Key of the prefix whose cache decides between workers; `None` if the prefix is
     /// too short for that.
     pub(crate) affinity_key: Option<u64>,
@@ -56,6 +59,13 @@
         clock::now_ms().saturating_sub(self.arrived_ms)
     }
 
+    /// Fingerprints for the log, hexadecimal: that of the content, and that of the content
+    /// and the caller.
+    pub(crate) fn fingerprint_text(&self) -> String {
+        let Fingerprint { content, of_caller } = self.fingerprint;
+        format!("{content:016x},{of_caller:016x}")
+    }
+
     /// Ids of the shared parts of the prompt for the log, hexadecimal and separated by
     /// commas, the first [`MAX_LOGGED_PARTS`] of them.
     pub(crate) fn parts_text(&self) -> String {
