Refuse requests that crash each worker that runs them

A request under which three workers had ended was sent to workers up to nine times more.

Cause: hosts recognised harmful requests by parts of prompts only. A request without a prompt had nothing by which its repeats, each with an id of its own, could be found to be the same, so each went to the next sound worker, and a host's own retry took it to a second one at once.

Crashes are reported with the features of each request in flight, so that only features of one request are quarantined as a set; different requests at the same crashes are each refused, for a minute. From the second crash on hosts don't repeat it until it is served.

Why it works: the same request has the same fingerprint on every host and through every hop, is in flight at each crash that it causes, and is never served; sound ones that are sent often are served between crashes.

--- a/crates/anvillift-fleet/src/broken_requests.rs
+++ b/crates/anvillift-fleet/src/broken_requests.rs
@@ -1,12 +1,12 @@
-//! The parts of prompts whose answers broke off, until it is known whether their worker
-//! has crashed.
+//! The requests whose answers broke off, until it is known whether their worker has
+//! crashed.
 //!
 //! An answer that breaks off may have other causes than a crash. A crash is confirmed
 //! when the worker can't be reached afterwards, or has started anew.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::prompt::Prompt;
+use crate::request_features::RequestFeatures;
 use crate::worker_notices::WorkerStart;
 use crate::worker_table::WorkerTable;
 
@@ -14,8 +14,8 @@
 const CONFIRMABLE_MS: u64 = 5_000;
 /// Most workers for which answers that broke off are kept.
 const MAX_WORKERS: usize = 256;
-/// Most parts kept for one worker.
-const MAX_PARTS: usize = 256;
+/// Most requests kept for one worker.
+const MAX_REQUESTS: usize = 128;
 
 /// A crash of a worker that is confirmed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,14 +24,14 @@
     pub worker: WorkerStart,
     /// Time at which the first answer broke off, in milliseconds.
     pub at_ms: u64,
-    /// Shared parts of the prompts that were in flight.
-    pub parts: BTreeSet<u64>,
+    /// The requests that were in flight.
+    pub requests: BTreeSet<RequestFeatures>,
 }
 
 #[derive(Clone, Debug)]
 struct BrokenAt {
     since_ms: u64,
-    parts: BTreeSet<u64>,
+    requests: BTreeSet<RequestFeatures>,
     is_checked: bool,
 }
 
@@ -42,19 +42,22 @@
 }
 
 impl BrokenRequests {
-    /// Records that the answer to a prompt broke off. Returns whether it has to be
+    /// Records that the answer to a request broke off. Returns whether it has to be
     /// checked if the worker has crashed.
-    pub fn record(&mut self, now_ms: u64, worker: &WorkerStart, prompt: &Prompt) -> bool {
-        if prompt.shared_parts.is_empty() {
-            return false;
-        }
+    pub fn record(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerStart,
+        features: &RequestFeatures,
+    ) -> bool {
         if !self.workers.contains_key(worker) && self.workers.len() >= MAX_WORKERS {
             return false;
         }
-        let new = BrokenAt { since_ms: now_ms, parts: BTreeSet::new(), is_checked: false };
+        let new = BrokenAt { since_ms: now_ms, requests: BTreeSet::new(), is_checked: false };
         let broken = self.workers.entry(worker.clone()).or_insert(new);
-        let free = MAX_PARTS.saturating_sub(broken.parts.len());
-        broken.parts.extend(prompt.shared_parts.iter().take(free).map(|part| part.id));
+        if broken.requests.len() < MAX_REQUESTS {
+            broken.requests.insert(features.clone());
+        }
         !broken.is_checked
     }
 
@@ -72,7 +75,8 @@
     /// Confirms that a worker has crashed. `None` if no answer broke off there.
     pub fn confirm(&mut self, worker: &WorkerStart) -> Option<ConfirmedCrash> {
         let broken = self.workers.remove(worker)?;
-        Some(ConfirmedCrash { worker: worker.clone(), at_ms: broken.since_ms, parts: broken.parts })
+        let requests = broken.requests;
+        Some(ConfirmedCrash { worker: worker.clone(), at_ms: broken.since_ms, requests })
     }
 
     /// Confirms the crashes of the workers that have started anew, by their reports.
--- /dev/null
+++ b/crates/anvillift-fleet/src/crash.rs
@@ -0,0 +1,70 @@
+//! A crash of a worker, with the requests that were in flight there.
+
+use std::collections::BTreeSet;
+
+use crate::broken_requests::ConfirmedCrash;
+use crate::quarantine::Quarantine;
+use crate::request_features::RequestFeatures;
+use crate::worker_notices::WorkerStart;
+
+/// Time between two crashes of a worker from which on they are distinct, also if no report
+/// has told of the start between them, in milliseconds.
+const DISTINCT_CRASHES_MS: u64 = 1_000;
+/// Most requests kept of one crash.
+const MAX_REQUESTS: usize = 256;
+
+/// One crash, as all hosts together saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Crash {
+    worker: WorkerStart,
+    pub(crate) at_ms: u64,
+    /// Time at which a host last reported it.
+    pub(crate) reported_ms: u64,
+    pub(crate) requests: BTreeSet<RequestFeatures>,
+}
+
+/// What a crash says about the features of the requests in flight.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Testimony {
+    /// No quarantined request was in flight, so each feature may be the cause.
+    Unexplained,
+    /// Quarantined requests were. One of their features may be the cause; it says nothing
+    /// about other requests.
+    Explained(BTreeSet<u64>),
+}
+
+impl Crash {
+    pub(crate) fn new(now_ms: u64, crash: ConfirmedCrash) -> Self {
+        let requests = crash.requests.into_iter().take(MAX_REQUESTS).collect();
+        Self { worker: crash.worker, at_ms: crash.at_ms, reported_ms: now_ms, requests }
+    }
+
+    /// Whether a host reports the same crash.
+    pub(crate) fn is_same(&self, other: &ConfirmedCrash) -> bool {
+        self.worker == other.worker && self.at_ms.abs_diff(other.at_ms) < DISTINCT_CRASHES_MS
+    }
+
+    /// Adds what a further host reports.
+    pub(crate) fn merge(&mut self, now_ms: u64, other: ConfirmedCrash) {
+        self.at_ms = self.at_ms.min(other.at_ms);
+        self.reported_ms = now_ms;
+        let free = MAX_REQUESTS.saturating_sub(self.requests.len());
+        self.requests.extend(other.requests.into_iter().take(free));
+    }
+
+    /// Whether a feature was in flight.
+    pub(crate) fn has(&self, feature: u64) -> bool {
+        self.requests.iter().any(|request| request.contains(feature))
+    }
+
+    /// Whether one request in flight had both features.
+    pub(crate) fn has_together(&self, feature: u64, other: u64) -> bool {
+        self.requests.iter().any(|request| request.contains(feature) && request.contains(other))
+    }
+
+    pub(crate) fn testimony(&self, quarantine: &Quarantine) -> Testimony {
+        let explaining = self.requests.iter().filter(|request| quarantine.explains(request));
+        let features: BTreeSet<u64> = explaining.flat_map(RequestFeatures::iter).collect();
+        if features.is_empty() { Testimony::Unexplained } else { Testimony::Explained(features) }
+    }
+}
--- a/crates/anvillift-fleet/src/crash_evidence.rs
+++ b/crates/anvillift-fleet/src/crash_evidence.rs
@@ -1,80 +1,56 @@
-//! Finds the parts of prompts that crash workers.
+//! Finds the requests that crash workers, by their features.
 //!
-//! When a worker crashes, the prompts in flight there are known, harmful and sound ones.
-//! A harmful part was in flight at each of many crashes and was never served since, while
-//! sound parts that share workers with it are served again and again. A part is
-//! quarantined after [`MIN_CRASHES`] crashes since it was last served, or after more of
-//! them if it was ever served. Hosts are asked when they last served it before that is
-//! decided. A crash at which a quarantined part was in flight is explained by it and
-//! says nothing about other parts.
+//! When a worker crashes, the requests in flight there are known, harmful and sound ones.
+//! A harmful feature was in flight at each of many crashes and was never served since,
+//! while sound features that share workers with it are served again and again. A feature
+//! is quarantined after some crashes since it was last served, and after more of them if
+//! it was ever served. Hosts are asked when they last served it before that is decided. A
+//! crash at which a quarantined request was in flight is explained by it and says nothing
+//! about other requests.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::broken_requests::ConfirmedCrash;
-use crate::quarantine::Quarantine;
-use crate::worker_notices::WorkerStart;
-
-/// Crashes after which a part that was never served is quarantined.
-const MIN_CRASHES: usize = 4;
-/// Crashes after which a part that was served before them is quarantined. Sound parts
-/// of many prompts are in flight at most crashes.
-const MIN_CRASHES_IF_SERVED: usize = 6;
-/// Crashes from which on hosts are asked about a part.
+use crate::crash::{Crash, Testimony};
+use crate::feature_kind::FeatureKind;
+use crate::quarantine::{QUARANTINE_MS, Quarantine};
+use crate::suspect::Suspect;
+use crate::verdict::Verdict;
+
+/// Crashes from which on hosts are asked about a feature.
 const MIN_CRASHES_TO_ASK: usize = 2;
 /// Time that hosts have to answer, in milliseconds.
 const ANSWER_TIME_MS: u64 = 300;
-/// Shortest time between two questions about a part, in milliseconds.
+/// Shortest time between two questions about a feature, in milliseconds.
 const QUESTION_INTERVAL_MS: u64 = 250;
-/// Most parts in one question.
-const MAX_PARTS_IN_QUESTION: usize = 64;
-/// Time between two crashes of a worker from which on they are distinct, also if no report
-/// has told of the start between them, in milliseconds.
-const DISTINCT_CRASHES_MS: u64 = 1_000;
+/// Most features in one question.
+const MAX_FEATURES_IN_QUESTION: usize = 64;
 /// Time for which a crash counts, in milliseconds.
 const EVIDENCE_MS: u64 = 600_000;
-/// Time after the last crash within which a decision may be due, in milliseconds.
+/// Time after the last report of a crash within which a decision may be due, in
+/// milliseconds.
 const DECISION_TIME_MS: u64 = 2_000;
+/// Quarantine of requests of which only one is harmful, in milliseconds. After it the sound
+/// ones are served, and the harmful one is found at its next crash.
+const UNCERTAIN_QUARANTINE_MS: u64 = 60_000;
 /// Most crashes kept; the oldest are forgotten first.
 const MAX_CRASHES: usize = 512;
-/// Most parts kept of one crash.
-const MAX_PARTS_PER_CRASH: usize = 256;
-
-#[derive(Clone, Debug)]
-struct Crash {
-    worker: WorkerStart,
-    at_ms: u64,
-    parts: BTreeSet<u64>,
-}
+/// Most requests kept of all crashes together.
+const MAX_REQUESTS: usize = 16_384;
 
-/// The last question about a part.
+/// The last question about a feature.
 #[derive(Clone, Copy, Debug)]
 struct Question {
     asked_ms: u64,
     /// Crashes since it was last served, when it was asked.
     crashes: usize,
-    /// Whether it was known then that the part was ever served.
+    /// Whether it was known then that the feature was ever served.
     was_served: bool,
-    /// Time of the first question at which the part had enough crashes to be quarantined.
+    /// Time of the first question at which the feature had enough crashes to be quarantined.
     enough_since_ms: Option<u64>,
 }
 
-/// A part with the crashes since it was last served.
-#[derive(Clone, Debug)]
-struct Suspect {
-    part: u64,
-    was_served: bool,
-    /// Indices of the crashes.
-    crashes: BTreeSet<usize>,
-}
-
-impl Suspect {
-    fn has_enough_crashes(&self) -> bool {
-        let needed = if self.was_served { MIN_CRASHES_IF_SERVED } else { MIN_CRASHES };
-        self.crashes.len() >= needed
-    }
-}
-
-/// Crashes of workers, and when the parts that were in flight were served.
+/// Crashes of workers, and when the features that were in flight were served.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
     crashes: Vec<Crash>,
@@ -84,21 +60,15 @@
 }
 
 impl CrashEvidence {
-    /// Records a crash. Several hosts may report the same one, each with its own prompts.
+    /// Records a crash. Several hosts may report the same one, each with its own requests.
     pub fn record(&mut self, now_ms: u64, crash: ConfirmedCrash) {
         self.last_recorded_ms = Some(now_ms);
-        let is_same = |known: &&mut Crash| {
-            known.worker == crash.worker && known.at_ms.abs_diff(crash.at_ms) < DISTINCT_CRASHES_MS
-        };
-        if let Some(known) = self.crashes.iter_mut().find(is_same) {
-            known.at_ms = known.at_ms.min(crash.at_ms);
-            let free = MAX_PARTS_PER_CRASH.saturating_sub(known.parts.len());
-            known.parts.extend(crash.parts.into_iter().take(free));
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.is_same(&crash)) {
+            known.merge(now_ms, crash);
         } else {
-            let parts = crash.parts.into_iter().take(MAX_PARTS_PER_CRASH).collect();
-            self.crashes.push(Crash { worker: crash.worker, at_ms: crash.at_ms, parts });
+            self.crashes.push(Crash::new(now_ms, crash));
         }
-        while self.crashes.len() > MAX_CRASHES {
+        while self.crashes.len() > MAX_CRASHES || self.request_count() > MAX_REQUESTS {
             self.forget_oldest();
         }
     }
@@ -108,21 +78,25 @@
         self.last_recorded_ms.is_some_and(|ms| ms + DECISION_TIME_MS >= now_ms)
     }
 
-    /// Records that a prompt with a part was served.
-    pub fn record_served(&mut self, part: u64, at_ms: u64) {
-        if self.crashes.iter().any(|crash| crash.parts.contains(&part)) {
-            let served_ms = self.served_ms.entry(part).or_default();
+    /// Records that a request with a feature was served.
+    pub fn record_served(&mut self, feature: u64, at_ms: u64) {
+        if self.crashes.iter().any(|crash| crash.has(feature)) {
+            let served_ms = self.served_ms.entry(feature).or_default();
             *served_ms = at_ms.max(*served_ms);
         }
     }
 
-    /// Parts about which hosts have to be asked now.
+    /// Features about which hosts have to be asked now, those in most crashes first.
     pub fn take_questions(&mut self, now_ms: u64, quarantine: &Quarantine) -> Vec<u64> {
-        let suspects = self.suspects(quarantine);
-        let due = suspects.iter().filter(|suspect| self.is_question_due(now_ms, suspect));
-        let due: Vec<&Suspect> = due.take(MAX_PARTS_IN_QUESTION).collect();
+        let mut due = self.suspects(now_ms, quarantine);
+        due.retain(|suspect| self.is_question_due(now_ms, suspect));
+        due.sort_by_key(|suspect| std::cmp::Reverse(suspect.crashes.len()));
+        due.truncate(MAX_FEATURES_IN_QUESTION);
         for suspect in &due {
-            let before = self.last_question(suspect);
+            // What hosts answered to an older question says nothing about the time since.
+            let before = self
+                .last_question(suspect)
+                .filter(|question| question.asked_ms + DECISION_TIME_MS >= now_ms);
             let before_ms = before.and_then(|question| question.enough_since_ms);
             let question = Question {
                 asked_ms: now_ms,
@@ -130,59 +104,101 @@
                 was_served: suspect.was_served,
                 enough_since_ms: suspect.has_enough_crashes().then(|| before_ms.unwrap_or(now_ms)),
             };
-            self.questions.insert(suspect.part, question);
+            self.questions.insert(suspect.feature, question);
         }
-        due.iter().map(|suspect| suspect.part).collect()
+        due.iter().map(|suspect| suspect.feature).collect()
     }
 
-    /// The parts to be quarantined now, if there are any: one that was in flight at the
-    /// most crashes, with those that were in flight at each of these crashes too.
-    pub fn decide(&self, now_ms: u64, quarantine: &Quarantine) -> Option<BTreeSet<u64>> {
-        let suspects = self.suspects(quarantine);
+    /// What has to be quarantined now: the feature that was in flight at the most crashes,
+    /// with those that the same requests had at each of them. A content that several
+    /// callers send comes after the requests of each. Where several requests were in flight
+    /// at the same crashes, each of them is quarantined, for a shorter time.
+    pub fn decide(&self, now_ms: u64, quarantine: &Quarantine) -> Vec<Verdict> {
+        let suspects = self.suspects(now_ms, quarantine);
         let is_decided =
             |suspect: &&Suspect| suspect.has_enough_crashes() && self.is_answered(now_ms, suspect);
-        let worst = suspects
-            .iter()
-            .filter(is_decided)
-            .max_by_key(|suspect| (!suspect.was_served, suspect.crashes.len()))?;
-        let is_alike = |other: &&Suspect| {
-            other.crashes.is_superset(&worst.crashes) && (worst.was_served || !other.was_served)
+        let decided = || suspects.iter().filter(is_decided);
+        let rank = |suspect: &Suspect| {
+            let kind = suspect.kind;
+            (!suspect.was_served, kind != FeatureKind::Content, suspect.crashes.len(), kind)
         };
-        Some(suspects.iter().filter(is_alike).map(|suspect| suspect.part).collect())
+        let Some(worst) = decided().max_by_key(|suspect| rank(suspect)) else {
+            return Vec::new();
+        };
+        let alike = decided()
+            .filter(|suspect| rank(suspect) == rank(worst) && suspect.crashes == worst.crashes);
+        let sets: BTreeSet<BTreeSet<u64>> =
+            alike.map(|suspect| self.inseparable(suspect, &suspects)).collect();
+        let is_narrowest = |set: &&BTreeSet<u64>| {
+            !sets.iter().any(|other| other.len() > set.len() && other.is_superset(set))
+        };
+        let sets: Vec<&BTreeSet<u64>> = sets.iter().filter(is_narrowest).collect();
+        let duration_ms = if sets.len() > 1 { UNCERTAIN_QUARANTINE_MS } else { QUARANTINE_MS };
+        sets.into_iter().map(|set| Verdict { features: set.clone(), duration_ms }).collect()
     }
 
-    /// Forgets old crashes, and what is known of parts that are in no crash any more.
+    /// Forgets old crashes, and what is known of features that are in no crash any more.
     pub fn remove_old(&mut self, now_ms: u64) {
         self.crashes.retain(|crash| crash.at_ms + EVIDENCE_MS >= now_ms);
-        let parts: BTreeSet<u64> =
-            self.crashes.iter().flat_map(|crash| crash.parts.iter().copied()).collect();
-        self.served_ms.retain(|part, _| parts.contains(part));
-        self.questions.retain(|part, _| parts.contains(part));
+        let requests = self.crashes.iter().flat_map(|crash| &crash.requests);
+        let features: BTreeSet<u64> = requests.flat_map(|request| request.iter()).collect();
+        self.served_ms.retain(|feature, _| features.contains(feature));
+        self.questions.retain(|feature, _| features.contains(feature));
     }
 
-    /// The parts with [`MIN_CRASHES_TO_ASK`] or more crashes that nothing explains, since
-    /// they were last served.
-    fn suspects(&self, quarantine: &Quarantine) -> Vec<Suspect> {
-        let mut by_part: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
-        let unexplained =
-            self.crashes.iter().enumerate().filter(|(_, crash)| !quarantine.explains(&crash.parts));
-        for (index, crash) in unexplained {
-            let is_served_since =
-                |part: &&u64| self.served_ms.get(part).is_some_and(|ms| *ms > crash.at_ms);
-            for part in crash.parts.iter().filter(|part| !is_served_since(part)) {
-                by_part.entry(*part).or_default().insert(index);
+    /// The features that were in flight at crashes which were reported lately, with all
+    /// their crashes since they were last served, if these are enough for a question and at
+    /// least one is unexplained.
+    fn suspects(&self, now_ms: u64, quarantine: &Quarantine) -> Vec<Suspect> {
+        let recent =
+            self.crashes.iter().filter(|crash| crash.reported_ms + DECISION_TIME_MS >= now_ms);
+        let mut suspects: BTreeMap<u64, Suspect> = BTreeMap::new();
+        for request in recent.flat_map(|crash| &crash.requests) {
+            for (feature, kind) in request.kinds() {
+                let was_served = self.served_ms.contains_key(&feature);
+                let new = || Suspect::new(feature, kind, was_served);
+                suspects.entry(feature).or_insert_with(new);
             }
         }
-        by_part
-            .into_iter()
-            .filter(|(_, crashes)| crashes.len() >= MIN_CRASHES_TO_ASK)
-            .map(|(part, crashes)| {
-                let was_served = self.served_ms.contains_key(&part);
-                Suspect { part, was_served, crashes }
+        for (index, crash) in self.crashes.iter().enumerate() {
+            let testimony = crash.testimony(quarantine);
+            for feature in crash.requests.iter().flat_map(|request| request.iter()) {
+                let is_served_since =
+                    self.served_ms.get(&feature).is_some_and(|ms| *ms > crash.at_ms);
+                let Some(suspect) = suspects.get_mut(&feature).filter(|_| !is_served_since) else {
+                    continue;
+                };
+                match &testimony {
+                    Testimony::Unexplained => suspect.add_unexplained(index),
+                    Testimony::Explained(causes) if causes.contains(&feature) => {
+                        suspect.add_explained(index);
+                    }
+                    Testimony::Explained(_) => (),
+                }
+            }
+        }
+        suspects
+            .into_values()
+            .filter(|suspect| {
+                suspect.has_unexplained && suspect.crashes.len() >= MIN_CRASHES_TO_ASK
             })
             .collect()
     }
 
+    /// A suspect with the features that a request had together with it at each of its
+    /// crashes, so that the crashes can't tell them apart.
+    fn inseparable(&self, suspect: &Suspect, suspects: &[Suspect]) -> BTreeSet<u64> {
+        let is_inseparable = |other: &&Suspect| {
+            (suspect.was_served || !other.was_served)
+                && other.crashes.is_superset(&suspect.crashes)
+                && suspect
+                    .crashes
+                    .iter()
+                    .all(|index| self.crashes[*index].has_together(suspect.feature, other.feature))
+        };
+        suspects.iter().filter(is_inseparable).map(|other| other.feature).collect()
+    }
+
     fn is_question_due(&self, now_ms: u64, suspect: &Suspect) -> bool {
         self.last_question(suspect).is_none_or(|question| {
             question.crashes != suspect.crashes.len()
@@ -190,20 +206,24 @@
         })
     }
 
-    /// The last question about a part, unless the answers have changed how many crashes
+    /// The last question about a feature, unless the answers have changed how many crashes
     /// are needed.
     fn last_question(&self, suspect: &Suspect) -> Option<&Question> {
-        let question = self.questions.get(&suspect.part);
+        let question = self.questions.get(&suspect.feature);
         question.filter(|question| question.was_served == suspect.was_served)
     }
 
-    /// Whether hosts had time to answer the question about a part that has enough crashes.
+    /// Whether hosts had time to answer the question about a feature that has enough crashes.
     fn is_answered(&self, now_ms: u64, suspect: &Suspect) -> bool {
         let question = self.last_question(suspect);
         let since_ms = question.and_then(|question| question.enough_since_ms);
         since_ms.is_some_and(|since_ms| since_ms + ANSWER_TIME_MS <= now_ms)
     }
 
+    fn request_count(&self) -> usize {
+        self.crashes.iter().map(|crash| crash.requests.len()).sum()
+    }
+
     fn forget_oldest(&mut self) {
         let oldest = self.crashes.iter().enumerate().min_by_key(|(_, crash)| crash.at_ms);
         if let Some(index) = oldest.map(|(index, _)| index) {
--- a/crates/anvillift-fleet/src/retry_decision.rs
+++ b/crates/anvillift-fleet/src/retry_decision.rs
@@ -38,6 +38,8 @@
     pub max_runs: u32,
     /// Attempts made so far, regardless of their outcome.
     pub attempt_count: u32,
+    /// Whether it may be the cause of crashes of workers.
+    pub is_suspected: bool,
     /// Time left until its deadline, in milliseconds.
     pub left_ms: u64,
 }
@@ -102,7 +104,9 @@
             } else {
                 FinalOutcome::Unknown
             };
-            let may_repeat = request.kind.may_repeat() && request.run_count < request.max_runs;
+            let may_repeat = request.kind.may_repeat()
+                && request.run_count < request.max_runs
+                && !request.is_suspected;
             if may_repeat && can_try_again {
                 NextStep::RetryElse(answer_of_attempt)
             } else {
--- a/crates/anvillift-node/src/core/crashes.rs
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -1,16 +1,19 @@
 //! Crashes of workers on a core host, which entry hosts report, and the decision which
-//! parts of prompts are quarantined.
+//! requests are quarantined.
 
-use anvillift_fleet::{ConfirmedCrash, WorkerStart};
+use std::collections::BTreeSet;
+
+use anvillift_fleet::{ConfirmedCrash, Fingerprint, RequestFeatures, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetServedParts,
+    FleetCrash, FleetCrashedRequest, FleetCrashes, FleetFrame, FleetHostRole, FleetParts,
+    FleetServedParts,
 };
 use anvillift_schema::name::Name;
 
 use crate::clock;
 use crate::core::Core;
-use crate::quarantine::parts_text;
+use crate::quarantine::features_text;
 
 impl Core {
     /// Records the crashes that an entry host has seen.
@@ -19,21 +22,16 @@
         for crash in crashes.crashes {
             log::warn!(
                 event = Event::WorkerCrashed.number(), worker = crash.worker.as_str(),
-                born_ms = crash.born_ms, age_ms = crash.age_ms, parts = parts_text(&crash.parts),
+                born_ms = crash.born_ms, age_ms = crash.age_ms, requests = crash.requests.len(),
                 from = from.as_str();
                 "worker has crashed"
             );
-            let crash = ConfirmedCrash {
-                worker: WorkerStart { id: crash.worker, born_ms: crash.born_ms },
-                at_ms: now_ms.saturating_sub(crash.age_ms),
-                parts: crash.parts.into_iter().collect(),
-            };
-            self.crash_evidence.borrow_mut().record(now_ms, crash);
+            self.crash_evidence.borrow_mut().record(now_ms, confirmed_crash(now_ms, crash));
         }
         self.evaluate_crashes();
     }
 
-    /// Records when an entry host has served parts.
+    /// Records when an entry host has served requests with some features.
     pub(super) fn on_parts_served(&self, served: &FleetServedParts) {
         let now_ms = clock::now_ms();
         let mut evidence = self.crash_evidence.borrow_mut();
@@ -42,24 +40,22 @@
         }
     }
 
-    /// Asks entry hosts about suspected parts, and quarantines those that crash workers.
+    /// Asks entry hosts about suspected requests, and quarantines those that crash workers.
     pub(super) fn evaluate_crashes(&self) {
         let now_ms = clock::now_ms();
         if !self.crash_evidence.borrow().is_decision_due(now_ms) {
             return;
         }
-        let (questions, decided) = {
+        let (questions, verdicts) = {
             let view = self.node.view.borrow();
             let mut evidence = self.crash_evidence.borrow_mut();
             let questions = evidence.take_questions(now_ms, &view.quarantine);
             (questions, evidence.decide(now_ms, &view.quarantine))
         };
         if !questions.is_empty() {
-            self.ask_about_parts(questions);
-        }
-        if let Some(parts) = decided {
-            self.node.quarantine_parts(parts);
+            self.ask_about(questions);
         }
+        self.node.quarantine(verdicts);
     }
 
     /// Forgets old crashes and ended quarantines.
@@ -68,18 +64,40 @@
         self.node.remove_ended_quarantine();
     }
 
-    fn ask_about_parts(&self, parts: Vec<u64>) {
+    fn ask_about(&self, features: Vec<u64>) {
         let Some(hub) = self.node.hub() else { return };
         log::info!(
-            event = Event::PartsSuspected.number(), parts = parts_text(&parts);
-            "parts were in flight at several crashes; asking when they were last served"
+            event = Event::FeaturesSuspected.number(),
+            features = features_text(features.iter().copied());
+            "requests with these features were in flight at several crashes; asking when they \
+             were last served"
         );
         let mut hosts = self.node.quarantine_peers();
         let view = self.node.view.borrow();
         hosts.retain(|name| {
             view.hosts.get(name).is_some_and(|host| host.role == FleetHostRole::Entry)
         });
-        let frame = FleetFrame::PartsWanted(FleetParts { parts });
+        let frame = FleetFrame::PartsWanted(FleetParts { parts: features });
         hosts.iter().for_each(|name| hub.send(name, frame.clone()));
     }
 }
+
+/// A crash as an entry host reports it. Hosts of older releases name the parts of all
+/// prompts together.
+fn confirmed_crash(now_ms: u64, crash: FleetCrash) -> ConfirmedCrash {
+    let features = |request: FleetCrashedRequest| RequestFeatures {
+        parts: request.parts.into_iter().collect(),
+        fingerprint: Some(Fingerprint { content: request.content, of_caller: request.of_caller }),
+    };
+    let mut requests: BTreeSet<RequestFeatures> =
+        crash.requests.into_iter().map(features).collect();
+    if requests.is_empty() {
+        let parts = crash.parts.into_iter().collect();
+        requests.insert(RequestFeatures { parts, ..RequestFeatures::default() });
+    }
+    ConfirmedCrash {
+        worker: WorkerStart { id: crash.worker, born_ms: crash.born_ms },
+        at_ms: now_ms.saturating_sub(crash.age_ms),
+        requests,
+    }
+}
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -3,7 +3,9 @@
 
 use std::net::IpAddr;
 
-use anvillift_fleet::{CallerId, Fingerprint, Prompt, RequestContent, VersionConstraint, choose};
+use anvillift_fleet::{
+    CallerId, Fingerprint, Prompt, RequestContent, RequestFeatures, VersionConstraint, choose,
+};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -64,6 +66,7 @@
             body: body.as_deref().unwrap_or_default(),
         };
         let fingerprint = Fingerprint::of(&content, caller);
+        let features = RequestFeatures::new(&prompt, fingerprint);
         let resumes = head.headers.get(names.resumes).map(Name::from);
         let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
@@ -78,6 +81,7 @@
             prompt,
             caller,
             fingerprint,
+            features,
             affinity_key,
             version_constraint,
             origin,
--- a/crates/anvillift-node/src/entry/attempts.rs
+++ b/crates/anvillift-node/src/entry/attempts.rs
@@ -35,13 +35,15 @@
         Self { version_constraint: request.version_constraint.clone(), ..Self::default() }
     }
 
-    pub(crate) fn state(&self, request: &Request) -> RequestState {
+    /// `is_suspected` is whether the request may be the cause of crashes of workers.
+    pub(crate) fn state(&self, request: &Request, is_suspected: bool) -> RequestState {
         let is_forwarded = request.origin == Origin::Host;
         RequestState {
             kind: request.route.kind,
             run_count: self.run_count,
             max_runs: retry_decision::max_runs_here(request.route.attempts, is_forwarded),
             attempt_count: self.attempt_count,
+            is_suspected,
             left_ms: request.remaining_ms(),
         }
     }
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -1,20 +1,21 @@
-//! Crashes of workers as this host sees them, and the refusal of prompts whose parts
-//! crash workers.
+//! Crashes of workers as this host sees them, and the refusal of requests that crash
+//! workers.
 //!
 //! When an answer breaks off, [`run_crash_checks`](Entry::run_crash_checks) checks
-//! whether its worker can still be reached. If not, cores are told which parts of prompts
-//! were in flight there. They find the parts to be quarantined, by the policy of
+//! whether its worker can still be reached. If not, cores are told which requests were in
+//! flight there, by their features. They find what is to be quarantined, by the policy of
 //! [`CrashEvidence`](anvillift_fleet::CrashEvidence). While this host hears no core it
 //! applies that policy to what it has seen itself.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{ConfirmedCrash, WorkerStart};
+use anvillift_fleet::{ConfirmedCrash, RequestFeatures, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetCrash, FleetCrashes, FleetFrame, FleetHostRole, FleetParts, FleetServedPart,
-    FleetServedParts,
+    FleetCrash, FleetCrashedRequest, FleetCrashes, FleetFrame, FleetHostRole, FleetParts,
+    FleetServedPart, FleetServedParts,
 };
 use anvillift_schema::name::Name;
 use tokio::{task, time};
@@ -24,7 +25,7 @@
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
-use crate::quarantine::parts_text;
+use crate::quarantine::features_text;
 
 /// Time between a broken answer and the check of its worker. Within it the other
 /// answers of a worker that has crashed break off as well.
@@ -34,9 +35,12 @@
 /// Most crashes kept for cores while none is linked.
 const MAX_UNREPORTED_CRASHES: usize = 256;
 /// Most crashes that cores are told of at a time.
-const MAX_CRASHES_PER_FRAME: usize = 32;
-/// Most parts that cores are told of one crash.
+const MAX_CRASHES_PER_FRAME: usize = 8;
+/// Most parts of prompts that cores are told of one crash, and of one request.
 const MAX_PARTS_PER_CRASH: usize = 64;
+const MAX_PARTS_PER_REQUEST: usize = 16;
+/// Most features of one crash that are logged.
+const MAX_LOGGED_FEATURES: usize = 64;
 
 impl Entry {
     /// Records that the answer of a worker broke off.
@@ -46,20 +50,27 @@
         }
         let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
         let needs_check =
-            self.broken.borrow_mut().record(clock::now_ms(), &worker, &request.prompt);
+            self.broken.borrow_mut().record(clock::now_ms(), &worker, &request.features);
         if needs_check {
             self.crash_check_due.notify_one();
         }
     }
 
-    /// Records that an answer was complete, which shows that the parts of its prompt
-    /// don't crash workers.
+    /// Records that an answer was complete, which shows that its request doesn't crash
+    /// workers.
     pub(super) fn record_served(&self, request: &Request, status: u16) {
         if (200..300).contains(&status) {
-            self.dispatch.borrow_mut().served_parts.record(clock::now_ms(), &request.prompt);
+            let mut dispatch = self.dispatch.borrow_mut();
+            dispatch.served_features.record(clock::now_ms(), &request.features);
+            dispatch.suspected_features.clear(&request.features);
         }
     }
 
+    /// Whether a request was in flight at several crashes, so that it may be their cause.
+    pub(super) fn is_suspected(&self, request: &Request) -> bool {
+        self.dispatch.borrow().suspected_features.contains(clock::now_ms(), &request.features)
+    }
+
     /// Checks the workers whose answers broke off, and reports those that have crashed.
     pub(super) async fn run_crash_checks(self: Rc<Self>) {
         loop {
@@ -101,12 +112,13 @@
     fn report_crashes(&self, crashes: Vec<ConfirmedCrash>) {
         for crash in &crashes {
             metrics::counter!("anvillift_worker_crashes_total").increment(1);
-            let parts: Vec<u64> = crash.parts.iter().copied().collect();
+            let features = crash.requests.iter().flat_map(RequestFeatures::iter);
+            let features: BTreeSet<u64> = features.take(MAX_LOGGED_FEATURES).collect();
             log::warn!(
                 event = Event::WorkerCrashed.number(), worker = crash.worker.id.as_str(),
                 born_ms = crash.worker.born_ms, age_ms = clock::now_ms() - crash.at_ms,
-                parts = parts_text(&parts);
-                "worker has crashed with prompts of this host in flight"
+                requests = crash.requests.len(), features = features_text(features);
+                "worker has crashed with requests of this host in flight"
             );
             self.crash_evidence.borrow_mut().record(clock::now_ms(), crash.clone());
         }
@@ -134,24 +146,42 @@
     /// Describes a crash to cores. Of too many parts, those that were never served come
     /// first.
     fn describe(&self, crash: ConfirmedCrash) -> FleetCrash {
-        let mut parts: Vec<u64> = crash.parts.into_iter().collect();
-        let dispatch = self.dispatch.borrow();
-        parts.sort_by_key(|part| dispatch.served_parts.last_served_ms(*part));
-        parts.truncate(MAX_PARTS_PER_CRASH);
+        let parts: BTreeSet<u64> =
+            crash.requests.iter().flat_map(|request| request.parts.iter().copied()).collect();
+        let describe_request = |request: RequestFeatures| {
+            let fingerprint = request.fingerprint?;
+            Some(FleetCrashedRequest {
+                parts: self.most_suspicious(request.parts, MAX_PARTS_PER_REQUEST),
+                content: fingerprint.content,
+                of_caller: fingerprint.of_caller,
+            })
+        };
         FleetCrash {
             worker: crash.worker.id,
             born_ms: crash.worker.born_ms,
             age_ms: clock::now_ms().saturating_sub(crash.at_ms),
-            parts,
+            parts: self.most_suspicious(parts, MAX_PARTS_PER_CRASH),
+            requests: crash.requests.into_iter().filter_map(describe_request).collect(),
         }
     }
 
-    /// Answers a core that asks when parts were last served.
+    /// The parts of prompts that were served the longest ago, or never.
+    fn most_suspicious(&self, parts: BTreeSet<u64>, max_parts: usize) -> Vec<u64> {
+        let mut parts: Vec<u64> = parts.into_iter().collect();
+        let dispatch = self.dispatch.borrow();
+        parts.sort_by_key(|part| dispatch.served_features.last_served_ms(*part));
+        parts.truncate(max_parts);
+        parts
+    }
+
+    /// Answers a core that asks when requests with some features were last served. They are
+    /// suspected until they are served again.
     pub(super) fn answer_parts_wanted(&self, from: &Name, wanted: &FleetParts) {
         let now_ms = clock::now_ms();
+        self.dispatch.borrow_mut().suspected_features.record(now_ms, &wanted.parts);
         let dispatch = self.dispatch.borrow();
         let served = |part: &u64| {
-            let served_ms = dispatch.served_parts.last_served_ms(*part)?;
+            let served_ms = dispatch.served_features.last_served_ms(*part)?;
             Some(FleetServedPart { part: *part, age_ms: now_ms.saturating_sub(served_ms) })
         };
         let parts: Vec<FleetServedPart> = wanted.parts.iter().filter_map(served).collect();
@@ -183,22 +213,22 @@
         if !evidence.is_decision_due(now_ms) {
             return;
         }
-        let decided = {
-            let dispatch = self.dispatch.borrow();
-            if dispatch.served_parts.is_empty() {
+        let verdicts = {
+            let mut dispatch = self.dispatch.borrow_mut();
+            if dispatch.served_features.is_empty() {
                 return;
             }
             let quarantine = &self.node.view.borrow().quarantine;
-            for part in evidence.take_questions(now_ms, quarantine) {
-                if let Some(served_ms) = dispatch.served_parts.last_served_ms(part) {
-                    evidence.record_served(part, served_ms);
+            let suspected = evidence.take_questions(now_ms, quarantine);
+            dispatch.suspected_features.record(now_ms, &suspected);
+            for feature in suspected {
+                if let Some(served_ms) = dispatch.served_features.last_served_ms(feature) {
+                    evidence.record_served(feature, served_ms);
                 }
             }
             evidence.decide(now_ms, quarantine)
         };
-        if let Some(parts) = decided {
-            self.node.quarantine_parts(parts);
-        }
+        self.node.quarantine(verdicts);
     }
 
     /// Linked cores that understand the frames about crashes.
@@ -217,16 +247,16 @@
         heard.iter().any(|host| host.role == FleetHostRole::Core && host.shares_quarantine)
     }
 
-    /// The answer to a request whose prompt has parts that crash workers.
+    /// The answer to a request that crashes workers.
     pub(super) fn quarantine_refusal(&self, request: &Request) -> Option<RequestFailure> {
         let view = self.node.view.borrow();
-        let remaining_ms = view.quarantine.remaining_ms(clock::now_ms(), &request.prompt)?;
+        let remaining_ms = view.quarantine.remaining_ms(clock::now_ms(), &request.features)?;
         metrics::counter!("anvillift_rejected_for_quarantine_total").increment(1);
         log::info!(
-            event = Event::PromptQuarantined.number(), id = request.id.as_str(),
+            event = Event::RequestQuarantined.number(), id = request.id.as_str(),
             service = request.service.as_str(), parts = request.parts_text(),
-            remaining_ms = remaining_ms;
-            "prompt refused: its parts crash workers"
+            fingerprint = request.fingerprint_text(), remaining_ms = remaining_ms;
+            "request refused: requests like it crash workers"
         );
         Some(RequestFailure::quarantined(remaining_ms))
     }
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -6,8 +6,8 @@
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
     AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, LimitShare, PrefixCounts,
-    Prompt, PromptSpeed, RetryShare, RetryShareSettings, ServedParts, WorkerHealth,
-    WorkerHealthSettings, WorkerNotices, WorkerStart,
+    Prompt, PromptSpeed, RetryShare, RetryShareSettings, ServedFeatures, SuspectedFeatures,
+    WorkerHealth, WorkerHealthSettings, WorkerNotices, WorkerStart,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -29,8 +29,10 @@
     pub(crate) prompt_speeds: BTreeMap<Name, PromptSpeed>,
     /// What workers have said in their answers.
     pub(crate) notices: WorkerNotices,
-    /// Parts of the prompts that this host has served.
-    pub(crate) served_parts: ServedParts,
+    /// Features of the requests that this host has served.
+    pub(crate) served_features: ServedFeatures,
+    /// Features of requests that may crash workers.
+    pub(crate) suspected_features: SuspectedFeatures,
     /// This host's share of the limits that workers have named.
     pub(crate) limit_share: LimitShare,
     in_flight_table: InFlightTable,
@@ -50,7 +52,8 @@
             prefix_counts: BTreeMap::new(),
             prompt_speeds: BTreeMap::new(),
             notices: WorkerNotices::default(),
-            served_parts: ServedParts::default(),
+            served_features: ServedFeatures::default(),
+            suspected_features: SuspectedFeatures::default(),
             limit_share: LimitShare::default(),
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
@@ -150,6 +153,7 @@
             entry.is_some_and(|entry| entry.report.born_ms == worker.born_ms)
         };
         self.limit_share.retain(is_current);
+        self.suspected_features.remove_ended(clock::now_ms());
         if let Some(configuration) = &view.configuration {
             let routes = &configuration.routes;
             self.answer_timeouts.retain(|name| routes.iter().any(|route| route.name == *name));
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -164,7 +164,8 @@
         attempts: &Attempts,
         end: AttemptEnd,
     ) -> Option<FinalOutcome> {
-        match retry_decision::next_step(end, &attempts.state(request)) {
+        let state = attempts.state(request, self.is_suspected(request));
+        match retry_decision::next_step(end, &state) {
             NextStep::TryAnother => None,
             NextStep::End(end) => Some(end),
             NextStep::RetryElse(end) => (!self.spend_retry(request)).then_some(end),
@@ -174,6 +175,9 @@
     /// Whether the retry budget and the targets left allow another attempt now.
     pub(crate) fn can_try_another(&self, request: &Request, attempts: &Attempts) -> bool {
         let now_ms = clock::now_ms();
+        if self.is_suspected(request) {
+            return false;
+        }
         let hosts = self.sharing_hosts(now_ms);
         let allows = hosts.is_some_and(|hosts| {
             self.dispatch.borrow_mut().retries.allows(now_ms, &request.service, hosts)
@@ -185,7 +189,7 @@
     /// the deadline, unless another worker may execute the request as well.
     fn response_timeout_ms(&self, request: &Request, attempts: &Attempts) -> u64 {
         let remaining_ms = request.remaining_ms();
-        let state = attempts.state(request);
+        let state = attempts.state(request, self.is_suspected(request));
         if !state.kind.may_repeat() || state.run_count + 1 >= state.max_runs {
             return remaining_ms;
         }
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use anvillift_fleet::{CallerId, Fingerprint, Prompt, Route, VersionConstraint};
+use anvillift_fleet::{CallerId, Fingerprint, Prompt, RequestFeatures, Route, VersionConstraint};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -31,6 +31,8 @@
     /// Caller, as its connection or the forwarding host shows it.
     pub(crate) caller: CallerId,
     pub(crate) fingerprint: Fingerprint,
+    /// By what it is recognised if it crashes workers.
+    pub(crate) features: RequestFeatures,
     /// Key of the prefix whose cache decides between workers; `None` if the prefix is
     /// too short for that.
     pub(crate) affinity_key: Option<u64>,
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -49,9 +49,9 @@
         Self { is_spread: true, ..Self::retryable(Code::UpstreamsLimited, retry_after_ms) }
     }
 
-    /// The prompt has parts that crash workers.
+    /// Requests like this one crash workers.
     pub(crate) const fn quarantined(retry_after_ms: u64) -> Self {
-        Self::retryable(Code::PromptQuarantined, retry_after_ms)
+        Self::retryable(Code::RequestQuarantined, retry_after_ms)
     }
 
     const fn retryable(code: Code, retry_after_ms: u64) -> Self {
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -31,7 +31,7 @@
         writer: &ResponseWriter,
     ) -> Option<Duration> {
         writer.events.as_ref().filter(|_| writer.has_started() && writer.can_switch)?;
-        let state = attempts.state(request);
+        let state = attempts.state(request, self.is_suspected(request));
         if state.run_count >= state.max_runs || !self.can_try_another(request, attempts) {
             return None;
         }
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -52,7 +52,7 @@
     /// host can take it.
     pub(crate) fn next_target(&self, request: &Request, attempts: &Attempts) -> Option<Target> {
         let view = self.node.view.borrow();
-        if view.quarantine.remaining_ms(clock::now_ms(), &request.prompt).is_some() {
+        if view.quarantine.remaining_ms(clock::now_ms(), &request.features).is_some() {
             return None;
         }
         let is_allowed_here = request.route.allows_region(&self.node.settings.region);
--- a/crates/anvillift-node/src/quarantine.rs
+++ b/crates/anvillift-node/src/quarantine.rs
@@ -1,9 +1,9 @@
-//! The quarantine of parts of prompts, as hosts share it: each entry is told to every
+//! The quarantine of requests that crash workers, as hosts share it: each entry is told to every
 //! linked host once it is new, and all entries to a host whose link comes up.
 
 use std::collections::BTreeSet;
 
-use anvillift_fleet::QUARANTINE_MS;
+use anvillift_fleet::Verdict;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetFrame, FleetHost, FleetQuarantine};
 use anvillift_schema::name::Name;
@@ -12,26 +12,29 @@
 use crate::node::Node;
 
 impl Node {
-    /// Quarantines parts that this host has found to crash workers.
-    pub(crate) fn quarantine_parts(&self, parts: BTreeSet<u64>) {
-        let parts = parts.into_iter().collect();
-        let entry = FleetQuarantine { parts, remaining_ms: QUARANTINE_MS };
-        self.add_quarantine(&entry, &self.own_host().name);
+    /// Quarantines what this host has found to crash workers.
+    pub(crate) fn quarantine(&self, verdicts: Vec<Verdict>) {
+        for verdict in verdicts {
+            let parts = verdict.features.into_iter().collect();
+            let entry = FleetQuarantine { parts, remaining_ms: verdict.duration_ms };
+            self.add_quarantine(&entry, &self.own_host().name);
+        }
     }
 
     /// Adds an entry that another host, or this one, has found. If it is new, the other
     /// linked hosts are told.
     pub(crate) fn add_quarantine(&self, entry: &FleetQuarantine, from: &Name) {
-        let parts: BTreeSet<u64> = entry.parts.iter().copied().collect();
+        let features: BTreeSet<u64> = entry.parts.iter().copied().collect();
         let now_ms = clock::now_ms();
-        let is_new = self.view.borrow_mut().quarantine.add(now_ms, parts, entry.remaining_ms);
+        let is_new = self.view.borrow_mut().quarantine.add(now_ms, features, entry.remaining_ms);
         if !is_new {
             return;
         }
         log::warn!(
-            event = Event::PartsQuarantined.number(), parts = parts_text(&entry.parts),
+            event = Event::FeaturesQuarantined.number(),
+            features = features_text(entry.parts.iter().copied()),
             remaining_ms = entry.remaining_ms, from = from.as_str();
-            "prompts with these parts crash workers and are refused"
+            "requests with these features crash workers and are refused"
         );
         for name in self.quarantine_peers() {
             if name != *from
@@ -57,14 +60,14 @@
         if !host.shares_quarantine {
             return;
         }
-        for (parts, remaining_ms) in self.view.borrow().quarantine.iter(clock::now_ms()) {
-            let parts = parts.iter().copied().collect();
+        for (features, remaining_ms) in self.view.borrow().quarantine.iter(clock::now_ms()) {
+            let parts = features.iter().copied().collect();
             let entry = FleetQuarantine { parts, remaining_ms };
             hub.send(&host.name, FleetFrame::Quarantine(entry));
         }
     }
 
-    /// Linked hosts that understand the frames about crashes and quarantined parts.
+    /// Linked hosts that understand the frames about crashes and the quarantine.
     pub(crate) fn quarantine_peers(&self) -> Vec<Name> {
         let Some(hub) = self.hub() else { return Vec::new() };
         let view = self.view.borrow();
@@ -74,8 +77,8 @@
     }
 }
 
-/// Ids of parts for the log, hexadecimal and separated by commas.
-pub(crate) fn parts_text(parts: &[u64]) -> String {
-    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+/// Features for the log, hexadecimal and separated by commas.
+pub(crate) fn features_text(features: impl IntoIterator<Item = u64>) -> String {
+    let ids: Vec<String> = features.into_iter().map(|feature| format!("{feature:x}")).collect();
     ids.join(",")
 }
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -58,7 +58,7 @@
     NotReady = 1306, 503, NotRun, "The host is not ready";
     StreamUnknown = 1307, 503, NotRun, "It is not known which version began the stream";
     UpstreamsPaused = 1308, 503, NotRun, "All upstreams have asked for a pause";
-    PromptQuarantined = 1309, 503, NotRun, "The prompt has a part that crashes upstreams";
+    RequestQuarantined = 1309, 503, NotRun, "Requests like this one crash upstreams";
     UpstreamsLimited = 1310, 503, NotRun, "All upstreams have named a limit that is reached";
     UpstreamUnreachable = 1401, 502, NotRun, "The upstream could not be reached";
     UpstreamFailed = 1402, 502, Unknown, "The upstream broke off";
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -78,9 +78,9 @@
     WorkerAsksForPause = 2714, "info", "A worker asked for a pause";
     PauseUnreadable = 2715, "warn", "A worker asked for a pause that cannot be read";
     WorkerCrashed = 2716, "warn", "A worker crashed while requests of this host were in flight there";
-    PartsSuspected = 2717, "info", "Hosts are asked about parts of prompts that were in flight at several crashes";
-    PartsQuarantined = 2718, "warn", "Prompts with parts that crash workers are refused from now on";
-    PromptQuarantined = 2719, "info", "A prompt was refused because its parts crash workers";
+    FeaturesSuspected = 2717, "info", "Hosts are asked about requests that were in flight at several crashes";
+    FeaturesQuarantined = 2718, "warn", "Requests that crash workers are refused from now on";
+    RequestQuarantined = 2719, "info", "A request was refused because requests like it crash workers";
     WorkerNamesLimit = 2720, "info", "A worker named a limit on its requests, another one than before, or none any more";
     LimitUnreadable = 2721, "warn", "A worker named a limit that cannot be read";
     WorkerIsBrittle = 2722, "info", "A worker said that it is brittle, or no longer so";
