Count requests that were given up when their worker has crashed silently

A worker may also fall silent until it starts anew.

Cause: only a connection that broke said which requests were in flight. A request that timed out, that was tried at another worker, or whose caller left before was not counted.

Change: such requests are kept for five seconds, without a check of the worker, and count if its reports stop, it starts anew, or another one starts at its address without a word that it leaves (WorkerEntry::was_replaced, so that a planned leave is no crash).

Why it works: a worker that serves or leaves as planned never confirms them; one that has ended does within a few seconds, by what hosts hear anyway.

--- a/crates/anvillift-fleet/src/broken_requests.rs
+++ b/crates/anvillift-fleet/src/broken_requests.rs
@@ -1,8 +1,10 @@
-//! The requests whose answers broke off, until it is known whether their worker has
-//! crashed.
+//! The requests whose answers broke off or never came, until it is known whether their
+//! worker has crashed.
 //!
 //! An answer that breaks off may have other causes than a crash. A crash is confirmed
-//! when the worker can't be reached afterwards, or has started anew.
+//! when the worker can't be reached afterwards, has started anew, or reports nothing any
+//! more. A request that was given up without an answer is no reason for a check: it counts
+//! if the worker turns out to have crashed.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,7 +14,7 @@
 
 /// Time for which a crash may be confirmed, in milliseconds.
 const CONFIRMABLE_MS: u64 = 5_000;
-/// Most workers for which answers that broke off are kept.
+/// Most workers for which such requests are kept.
 const MAX_WORKERS: usize = 256;
 /// Most requests kept for one worker.
 const MAX_REQUESTS: usize = 128;
@@ -32,10 +34,22 @@
 struct BrokenAt {
     since_ms: u64,
     requests: BTreeSet<RequestFeatures>,
+    /// Whether an answer broke off, rather than never came.
+    has_broken: bool,
     is_checked: bool,
 }
 
-/// Answers that broke off lately, by the start of their worker.
+impl BrokenAt {
+    /// Whether the worker has crashed, by its reports. One that leaves as planned may leave
+    /// requests without an answer.
+    fn has_crashed(&self, worker: &WorkerStart, workers: &WorkerTable) -> bool {
+        let Some(entry) = workers.get(&worker.id) else { return self.has_broken };
+        let has_ended = entry.was_replaced || (entry.has_left() && self.has_broken);
+        entry.report.born_ms != worker.born_ms || has_ended || entry.is_silent()
+    }
+}
+
+/// Answers that broke off or did not come lately, by the start of their worker.
 #[derive(Clone, Debug, Default)]
 pub struct BrokenRequests {
     workers: BTreeMap<WorkerStart, BrokenAt>,
@@ -50,20 +64,47 @@
         worker: &WorkerStart,
         features: &RequestFeatures,
     ) -> bool {
+        let Some(broken) = self.add(now_ms, worker, features) else { return false };
+        broken.has_broken = true;
+        !broken.is_checked
+    }
+
+    /// Records that a request was given up before its answer was complete.
+    pub fn record_unanswered(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerStart,
+        features: &RequestFeatures,
+    ) {
+        self.add(now_ms, worker, features);
+    }
+
+    fn add(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerStart,
+        features: &RequestFeatures,
+    ) -> Option<&mut BrokenAt> {
         if !self.workers.contains_key(worker) && self.workers.len() >= MAX_WORKERS {
-            return false;
+            return None;
         }
-        let new = BrokenAt { since_ms: now_ms, requests: BTreeSet::new(), is_checked: false };
+        let new = BrokenAt {
+            since_ms: now_ms,
+            requests: BTreeSet::new(),
+            has_broken: false,
+            is_checked: false,
+        };
         let broken = self.workers.entry(worker.clone()).or_insert(new);
         if broken.requests.len() < MAX_REQUESTS {
             broken.requests.insert(features.clone());
         }
-        !broken.is_checked
+        Some(broken)
     }
 
     /// The workers to be checked, each once.
     pub fn take_unchecked(&mut self) -> Vec<WorkerStart> {
-        let unchecked = self.workers.iter_mut().filter(|(_, broken)| !broken.is_checked);
+        let is_unchecked = |broken: &BrokenAt| broken.has_broken && !broken.is_checked;
+        let unchecked = self.workers.iter_mut().filter(|(_, broken)| is_unchecked(broken));
         unchecked
             .map(|(worker, broken)| {
                 broken.is_checked = true;
@@ -79,15 +120,12 @@
         Some(ConfirmedCrash { worker: worker.clone(), at_ms: broken.since_ms, requests })
     }
 
-    /// Confirms the crashes of the workers that have started anew, by their reports.
-    pub fn confirm_restarted(&mut self, workers: &WorkerTable) -> Vec<ConfirmedCrash> {
-        let has_ended = |worker: &&WorkerStart| {
-            workers
-                .get(&worker.id)
-                .is_none_or(|entry| entry.report.born_ms != worker.born_ms || entry.has_left())
-        };
-        let ended: Vec<WorkerStart> = self.workers.keys().filter(has_ended).cloned().collect();
-        ended.iter().filter_map(|worker| self.confirm(worker)).collect()
+    /// Confirms the crashes of the workers that have started anew or fallen silent, by their
+    /// reports.
+    pub fn confirm_reported(&mut self, workers: &WorkerTable) -> Vec<ConfirmedCrash> {
+        let crashed = self.workers.iter().filter(|(worker, it)| it.has_crashed(worker, workers));
+        let crashed: Vec<WorkerStart> = crashed.map(|(worker, _)| worker.clone()).collect();
+        crashed.iter().filter_map(|worker| self.confirm(worker)).collect()
     }
 
     /// Forgets answers that broke off too long ago.
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -40,6 +40,8 @@
     /// Sequence number from which a report decides whether the worker is cold;
     /// `None` unless it is suspected to be.
     confirmed_from_sequence: Option<u64>,
+    /// Whether another worker has started at its address, without a word that it leaves.
+    pub(crate) was_replaced: bool,
 }
 
 impl WorkerEntry {
@@ -58,6 +60,11 @@
         self.report.state == FleetWorkerState::Left
     }
 
+    /// Whether its reports have stopped, without a word that it leaves.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.report.state == FleetWorkerState::Silent
+    }
+
     /// The report for a host that has no reports yet, with the remaining cold time
     /// as of now. A worker that has missed a report may have restarted, so it is
     /// reported as cold for a while.
@@ -118,6 +125,7 @@
             cold_until_ms: (now_ms + report.cold_ms).max(suspected_until_ms),
             last_received_ms: now_ms,
             confirmed_from_sequence,
+            was_replaced: false,
             report,
         };
         self.workers.insert(entry.report.id.clone(), entry);
@@ -224,6 +232,7 @@
             if entry.report.born_ms > report.born_ms {
                 return false;
             }
+            entry.was_replaced = entry.is_ready() || entry.is_silent();
             entry.report.state = FleetWorkerState::Left;
             self.history.record(now_ms, &entry.report);
         }
--- a/crates/anvillift-fleet/tests/testsuite/crash_evidence.rs
+++ b/crates/anvillift-fleet/tests/testsuite/crash_evidence.rs
@@ -7,6 +7,7 @@
     BrokenRequests, ConfirmedCrash, CrashEvidence, Fingerprint, QUARANTINE_MS, Quarantine,
     RequestFeatures, ServedFeatures, SuspectedFeatures, Verdict, WorkerStart, WorkerTable,
 };
+use anvillift_schema::fleet::{FleetWorker, FleetWorkerState};
 use anvillift_schema::name::Name;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -214,7 +215,7 @@
     assert_eq!(broken.confirm(&worker(1)), Some(both));
     assert_eq!(broken.confirm(&worker(1)), None);
     broken.record(0, &worker(2), &prompt(&[COMMON]));
-    assert_eq!(broken.confirm_restarted(&WorkerTable::default()), [crash(2, 0, &[COMMON])]);
+    assert_eq!(broken.confirm_reported(&WorkerTable::default()), [crash(2, 0, &[COMMON])]);
     assert!(broken.record(0, &worker(3), &request(1, 1)), "a request without a prompt");
     broken.remove_old(5_001);
     assert_eq!(broken.confirm(&worker(3)), None);
@@ -383,6 +384,50 @@
     assert!(!suspected.contains(0, &request(50_000, 1)), "bounded");
 }
 
+/// Requests that were given up are no sign of a crash while their worker serves or when it
+/// leaves as planned, and count when it falls silent or is replaced without a word.
+#[test]
+fn requests_without_an_answer_count_if_their_worker_has_crashed() {
+    let cases = [
+        (FleetWorkerState::Ready, false),
+        (FleetWorkerState::Draining, false),
+        (FleetWorkerState::Left, false),
+        (FleetWorkerState::Silent, true),
+    ];
+    for (state, is_crash) in cases {
+        let mut workers = WorkerTable::default();
+        workers.merge(0, FleetWorker { state, sequence: 2, ..report(1, 1) });
+        let mut broken = BrokenRequests::default();
+        broken.record_unanswered(0, &worker(1), &request(9, 1));
+        assert!(broken.take_unchecked().is_empty(), "{state:?}");
+        let crashes = broken.confirm_reported(&workers);
+        assert_eq!(!crashes.is_empty(), is_crash, "{state:?}");
+        let mut broken = BrokenRequests::default();
+        broken.record_unanswered(0, &worker(1), &request(9, 1));
+        workers.merge(0, report(2, 2));
+        let is_replaced = state != FleetWorkerState::Draining && state != FleetWorkerState::Left;
+        let crashes = broken.confirm_reported(&workers);
+        assert_eq!(!crashes.is_empty(), is_replaced, "another worker after {state:?}");
+    }
+}
+
+/// The report of a worker, all of which have the same address.
+fn report(number: u64, born_ms: u64) -> FleetWorker {
+    FleetWorker {
+        id: worker(number).id,
+        born_ms,
+        sequence: 1,
+        service: Name::from("reads"),
+        address: "10.1.0.9:80".to_owned(),
+        data_centre: Name::from("north-a"),
+        slots: 8,
+        state: FleetWorkerState::Ready,
+        cold_ms: 0,
+        remaining_ms: 0,
+        version: None,
+    }
+}
+
 /// Workers crash every fifth of a second for a minute, with hundreds of documents in
 /// flight. No sound part may be quarantined, with a harmful part among them or without.
 #[test]
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Records that a request was given up before the answer of a worker was complete.
+    pub(super) fn record_unanswered(&self, request: &Request, target: &Target) {
+        if target.is_host {
+            return;
+        }
+        let worker = WorkerStart { id: target.name.clone(), born_ms: target.born_ms };
+        self.broken.borrow_mut().record_unanswered(clock::now_ms(), &worker, &request.features);
+    }
+
     /// Records that an answer was complete, which shows that its request doesn't crash
     /// workers.
     pub(super) fn record_served(&self, request: &Request, status: u16) {
@@ -101,9 +110,9 @@
         }
     }
 
-    /// Reports the crashes of workers that have already started anew.
-    pub(super) fn report_restarted_workers(&self) {
-        let crashes = self.broken.borrow_mut().confirm_restarted(&self.node.view.borrow().workers);
+    /// Reports the crashes of workers that have started anew or fallen silent since.
+    pub(super) fn report_ended_workers(&self) {
+        let crashes = self.broken.borrow_mut().confirm_reported(&self.node.view.borrow().workers);
         if !crashes.is_empty() {
             self.report_crashes(crashes);
         }
@@ -193,7 +202,7 @@
     /// Reports crashes that are due, and decides alone while no core is heard.
     pub(super) fn update_crashes(&self) {
         let now_ms = clock::now_ms();
-        self.report_restarted_workers();
+        self.report_ended_workers();
         self.broken.borrow_mut().remove_old(now_ms);
         if self.hears_core() {
             self.send_crashes();
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -48,6 +48,7 @@
                 .await;
             match outcome {
                 AttemptOutcome::CallerLeft => {
+                    self.record_unanswered(request, &started.target);
                     self.finish_attempt(request, started, None, "caller_left", "");
                     return ConnectionAction::Close;
                 }
@@ -151,7 +152,11 @@
         end: AttemptEnd,
         reason: &str,
     ) -> Option<FinalOutcome> {
-        attempts.run_count += u32::from(matches!(end, AttemptEnd::Broken | AttemptEnd::TimedOut));
+        let may_have_run = matches!(end, AttemptEnd::Broken | AttemptEnd::TimedOut);
+        attempts.run_count += u32::from(may_have_run);
+        if may_have_run {
+            self.record_unanswered(request, &started.target);
+        }
         self.finish_attempt(request, started, Some(false), &end.to_string(), reason);
         self.outcome_after(request, attempts, end)
     }
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -78,6 +78,7 @@
                     let resumed =
                         self.resume(caller, request, &mut attempts, &mut writer, version).await;
                     if let Some(next) = resumed {
+                        self.record_unanswered(request, &upstream.target);
                         // Dropping the connection cancels the request at the previous worker.
                         self.abandon_upstream(
                             request,
@@ -127,6 +128,7 @@
                     };
                 }
                 RelayStep::Abandoned(outcome) => {
+                    self.record_unanswered(request, &upstream.target);
                     self.finish_response(request, upstream, &writer, None, outcome);
                     caller.reset_on_drop();
                     return ConnectionAction::Close;
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -80,6 +80,7 @@
                     end = self.finish_broken(request, attempts, started, &reason);
                 }
                 AttemptOutcome::CallerLeft => {
+                    self.record_unanswered(request, &started.target);
                     self.finish_attempt(request, started, None, "caller_left", "");
                     return None;
                 }
@@ -87,6 +88,9 @@
                     end = self.finish_broken(request, attempts, started, &reason);
                 }
                 AttemptOutcome::NoResponse(failure, reason) => {
+                    if failure == AttemptEnd::TimedOut {
+                        self.record_unanswered(request, &started.target);
+                    }
                     self.finish_attempt(
                         request,
                         started,
@@ -110,6 +114,7 @@
         reason: &str,
     ) -> AttemptEnd {
         attempts.run_count += 1;
+        self.record_unanswered(request, &started.target);
         self.finish_attempt(request, started, Some(false), "broken", reason);
         AttemptEnd::Broken
     }
