Repeat requests that met two crashes, and don't count parts of given-up ones

Change: of a request that was given up only the whole request counts. Hosts stop to repeat a request from its third crash on: cores name those in their question (`suspected`, optional; hosts that don't know it go on).

--- a/crates/anvillift-fleet/src/broken_requests.rs
+++ b/crates/anvillift-fleet/src/broken_requests.rs
@@ -69,14 +69,22 @@
         !broken.is_checked
     }
 
-    /// Records that a request was given up before its answer was complete.
+    /// Records that a request was given up before its answer was complete. Only the request
+    /// as a whole counts: prompts that share parts are given up together when workers are
+    /// slow.
     pub fn record_unanswered(
         &mut self,
         now_ms: u64,
         worker: &WorkerStart,
         features: &RequestFeatures,
     ) {
-        self.add(now_ms, worker, features);
+        let is_known = self.workers.get(worker).is_some_and(|broken| {
+            broken.requests.iter().any(|request| request.fingerprint == features.fingerprint)
+        });
+        if !is_known {
+            let whole = RequestFeatures { fingerprint: features.fingerprint, ..Default::default() };
+            self.add(now_ms, worker, &whole);
+        }
     }
 
     fn add(
--- a/crates/anvillift-fleet/src/crash_evidence.rs
+++ b/crates/anvillift-fleet/src/crash_evidence.rs
@@ -14,11 +14,14 @@
 use crate::crash::{Crash, Testimony};
 use crate::feature_kind::FeatureKind;
 use crate::quarantine::{QUARANTINE_MS, Quarantine};
+use crate::question::Question;
 use crate::suspect::Suspect;
 use crate::verdict::Verdict;
 
 /// Crashes from which on hosts are asked about a feature.
 const MIN_CRASHES_TO_ASK: usize = 2;
+/// Crashes from which on hosts do not repeat a request.
+const MIN_CRASHES_TO_SUSPECT: usize = 3;
 /// Time that hosts have to answer, in milliseconds.
 const ANSWER_TIME_MS: u64 = 300;
 /// Shortest time between two questions about a feature, in milliseconds.
@@ -38,9 +41,9 @@
 /// Most requests kept of all crashes together.
 const MAX_REQUESTS: usize = 16_384;
 
-/// The last question about a feature.
+/// When hosts were last asked about a feature.
 #[derive(Clone, Copy, Debug)]
-struct Question {
+struct Asked {
     asked_ms: u64,
     /// Crashes since it was last served, when it was asked.
     crashes: usize,
@@ -55,7 +58,7 @@
 pub struct CrashEvidence {
     crashes: Vec<Crash>,
     served_ms: BTreeMap<u64, u64>,
-    questions: BTreeMap<u64, Question>,
+    asked: BTreeMap<u64, Asked>,
     last_recorded_ms: Option<u64>,
 }
 
@@ -86,8 +89,8 @@
         }
     }
 
-    /// Features about which hosts have to be asked now, those in most crashes first.
-    pub fn take_questions(&mut self, now_ms: u64, quarantine: &Quarantine) -> Vec<u64> {
+    /// What hosts have to be asked now, features in most crashes first.
+    pub fn take_question(&mut self, now_ms: u64, quarantine: &Quarantine) -> Question {
         let mut due = self.suspects(now_ms, quarantine);
         due.retain(|suspect| self.is_question_due(now_ms, suspect));
         due.sort_by_key(|suspect| std::cmp::Reverse(suspect.crashes.len()));
@@ -95,18 +98,22 @@
         for suspect in &due {
             // What hosts answered to an older question says nothing about the time since.
             let before = self
-                .last_question(suspect)
-                .filter(|question| question.asked_ms + DECISION_TIME_MS >= now_ms);
-            let before_ms = before.and_then(|question| question.enough_since_ms);
-            let question = Question {
+                .last_asked(suspect)
+                .filter(|asked| asked.asked_ms + DECISION_TIME_MS >= now_ms);
+            let before_ms = before.and_then(|asked| asked.enough_since_ms);
+            let asked = Asked {
                 asked_ms: now_ms,
                 crashes: suspect.crashes.len(),
                 was_served: suspect.was_served,
                 enough_since_ms: suspect.has_enough_crashes().then(|| before_ms.unwrap_or(now_ms)),
             };
-            self.questions.insert(suspect.feature, question);
+            self.asked.insert(suspect.feature, asked);
+        }
+        let suspected = due.iter().filter(|it| it.crashes.len() >= MIN_CRASHES_TO_SUSPECT);
+        Question {
+            suspected: suspected.map(|suspect| suspect.feature).collect(),
+            features: due.iter().map(|suspect| suspect.feature).collect(),
         }
-        due.iter().map(|suspect| suspect.feature).collect()
     }
 
     /// What has to be quarantined now: the feature that was in flight at the most crashes,
@@ -143,7 +150,7 @@
         let requests = self.crashes.iter().flat_map(|crash| &crash.requests);
         let features: BTreeSet<u64> = requests.flat_map(|request| request.iter()).collect();
         self.served_ms.retain(|feature, _| features.contains(feature));
-        self.questions.retain(|feature, _| features.contains(feature));
+        self.asked.retain(|feature, _| features.contains(feature));
     }
 
     /// The features that were in flight at crashes which were reported lately, with all
@@ -200,23 +207,22 @@
     }
 
     fn is_question_due(&self, now_ms: u64, suspect: &Suspect) -> bool {
-        self.last_question(suspect).is_none_or(|question| {
-            question.crashes != suspect.crashes.len()
-                && question.asked_ms + QUESTION_INTERVAL_MS <= now_ms
+        self.last_asked(suspect).is_none_or(|asked| {
+            asked.crashes != suspect.crashes.len()
+                && asked.asked_ms + QUESTION_INTERVAL_MS <= now_ms
         })
     }
 
-    /// The last question about a feature, unless the answers have changed how many crashes
-    /// are needed.
-    fn last_question(&self, suspect: &Suspect) -> Option<&Question> {
-        let question = self.questions.get(&suspect.feature);
-        question.filter(|question| question.was_served == suspect.was_served)
+    /// When hosts were last asked about a feature, unless the answers have changed how many
+    /// crashes are needed.
+    fn last_asked(&self, suspect: &Suspect) -> Option<&Asked> {
+        let asked = self.asked.get(&suspect.feature);
+        asked.filter(|asked| asked.was_served == suspect.was_served)
     }
 
     /// Whether hosts had time to answer the question about a feature that has enough crashes.
     fn is_answered(&self, now_ms: u64, suspect: &Suspect) -> bool {
-        let question = self.last_question(suspect);
-        let since_ms = question.and_then(|question| question.enough_since_ms);
+        let since_ms = self.last_asked(suspect).and_then(|asked| asked.enough_since_ms);
         since_ms.is_some_and(|since_ms| since_ms + ANSWER_TIME_MS <= now_ms)
     }
 
--- a/crates/anvillift-fleet/tests/testsuite/crash_evidence.rs
+++ b/crates/anvillift-fleet/tests/testsuite/crash_evidence.rs
@@ -5,7 +5,8 @@
 
 use anvillift_fleet::{
     BrokenRequests, ConfirmedCrash, CrashEvidence, Fingerprint, QUARANTINE_MS, Quarantine,
-    RequestFeatures, ServedFeatures, SuspectedFeatures, Verdict, WorkerStart, WorkerTable,
+    Question, RequestFeatures, ServedFeatures, SuspectedFeatures, Verdict, WorkerStart,
+    WorkerTable,
 };
 use anvillift_schema::fleet::{FleetWorker, FleetWorkerState};
 use anvillift_schema::name::Name;
@@ -60,7 +61,7 @@
     quarantine: &Quarantine,
     now_ms: u64,
 ) -> Vec<BTreeSet<u64>> {
-    evidence.take_questions(now_ms, quarantine);
+    evidence.take_question(now_ms, quarantine);
     assert_eq!(evidence.decide(now_ms, quarantine), [], "decided before hosts could answer");
     let verdicts = evidence.decide(now_ms + ANSWERED_MS, quarantine);
     verdicts.into_iter().map(|verdict| verdict.features).collect()
@@ -102,9 +103,9 @@
     for number in 0..6 {
         let now_ms = 10_000 + 1_000 * number;
         evidence.record(now_ms, crash(number, now_ms, &[HARMFUL]));
-        evidence.take_questions(now_ms, &quarantine);
+        evidence.take_question(now_ms, &quarantine);
         evidence.record_served(HARMFUL, 9_000);
-        evidence.take_questions(now_ms, &quarantine);
+        evidence.take_question(now_ms, &quarantine);
         let decided = evidence.decide(now_ms + ANSWERED_MS, &quarantine);
         assert_eq!(decided.len(), usize::from(number == 5), "after crash {number}");
     }
@@ -172,7 +173,7 @@
     }
     evidence.remove_old(QUARANTINE_MS + 1);
     quarantine.remove_ended(QUARANTINE_MS);
-    assert!(evidence.take_questions(QUARANTINE_MS + 1, &quarantine).is_empty());
+    assert_eq!(evidence.take_question(QUARANTINE_MS + 1, &quarantine), Question::default());
     assert_eq!(quarantine.iter(0).count(), 0);
 }
 
@@ -251,10 +252,10 @@
     for number in 0..5 {
         let now_ms = 10_000 + 1_000 * number;
         evidence.record(now_ms, crash_of(number, now_ms, [request(9, 1)]));
-        evidence.take_questions(now_ms, &quarantine);
+        evidence.take_question(now_ms, &quarantine);
         evidence.record_served(9, 9_000);
         evidence.record_served(of_caller(9, 1), 9_000);
-        evidence.take_questions(now_ms, &quarantine);
+        evidence.take_question(now_ms, &quarantine);
         let verdicts = evidence.decide(now_ms + ANSWERED_MS, &quarantine);
         assert_eq!(verdicts.len(), usize::from(number == 4), "after crash {number}");
     }
@@ -286,7 +287,7 @@
     for number in 0..3 {
         evidence.record(0, crash_of(number, 0, [harmful.clone(), sound.clone()]));
     }
-    evidence.take_questions(0, &quarantine);
+    evidence.take_question(0, &quarantine);
     for Verdict { features, duration_ms } in evidence.decide(ANSWERED_MS, &quarantine) {
         quarantine.add(ANSWERED_MS, features, duration_ms);
     }
@@ -365,6 +366,19 @@
     assert!(quarantine.add(1_000, BTreeSet::from([HARMFUL]), 1_000));
 }
 
+/// A sound request that met two crashes is not repeated, or a harmful one is repeated for
+/// ever.
+#[test]
+fn requests_are_suspected_from_their_third_crash_on() {
+    let (mut evidence, quarantine) = (CrashEvidence::default(), Quarantine::default());
+    for number in 0..3 {
+        let now_ms = 1_000 * number;
+        evidence.record(now_ms, crash_of(number, now_ms, [request(9, 1)]));
+        let suspected = evidence.take_question(now_ms, &quarantine).suspected;
+        assert_eq!(!suspected.is_empty(), number == 2, "after crash {number}");
+    }
+}
+
 /// A suspected request is repeated by its host, or one is suspected for ever, or each that
 /// shares a part of its prompt is.
 #[test]
@@ -485,7 +499,7 @@
         if now_ms % 50 != 0 {
             continue;
         }
-        for part in evidence.take_questions(now_ms, &quarantine) {
+        for part in evidence.take_question(now_ms, &quarantine).features {
             if let Some(served_ms) = served.get(&part) {
                 evidence.record_served(part, *served_ms);
             }
--- a/crates/anvillift-node/src/core/crashes.rs
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use anvillift_fleet::{ConfirmedCrash, Fingerprint, RequestFeatures, WorkerStart};
+use anvillift_fleet::{ConfirmedCrash, Fingerprint, Question, RequestFeatures, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
     FleetCrash, FleetCrashedRequest, FleetCrashes, FleetFrame, FleetHostRole, FleetParts,
@@ -46,14 +46,14 @@
         if !self.crash_evidence.borrow().is_decision_due(now_ms) {
             return;
         }
-        let (questions, verdicts) = {
+        let (question, verdicts) = {
             let view = self.node.view.borrow();
             let mut evidence = self.crash_evidence.borrow_mut();
-            let questions = evidence.take_questions(now_ms, &view.quarantine);
-            (questions, evidence.decide(now_ms, &view.quarantine))
+            let question = evidence.take_question(now_ms, &view.quarantine);
+            (question, evidence.decide(now_ms, &view.quarantine))
         };
-        if !questions.is_empty() {
-            self.ask_about(questions);
+        if !question.features.is_empty() {
+            self.ask(question);
         }
         self.node.quarantine(verdicts);
     }
@@ -64,11 +64,12 @@
         self.node.remove_ended_quarantine();
     }
 
-    fn ask_about(&self, features: Vec<u64>) {
+    fn ask(&self, question: Question) {
         let Some(hub) = self.node.hub() else { return };
         log::info!(
             event = Event::FeaturesSuspected.number(),
-            features = features_text(features.iter().copied());
+            features = features_text(question.features.iter().copied()),
+            suspected = question.suspected.len();
             "requests with these features were in flight at several crashes; asking when they \
              were last served"
         );
@@ -77,7 +78,10 @@
         hosts.retain(|name| {
             view.hosts.get(name).is_some_and(|host| host.role == FleetHostRole::Entry)
         });
-        let frame = FleetFrame::PartsWanted(FleetParts { parts: features });
+        let frame = FleetFrame::PartsWanted(FleetParts {
+            parts: question.features,
+            suspected: question.suspected,
+        });
         hosts.iter().for_each(|name| hub.send(name, frame.clone()));
     }
 }
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -183,11 +183,11 @@
         parts
     }
 
-    /// Answers a core that asks when requests with some features were last served. They are
+    /// Answers a core that asks when requests with some features were last served. Some are
     /// suspected until they are served again.
     pub(super) fn answer_parts_wanted(&self, from: &Name, wanted: &FleetParts) {
         let now_ms = clock::now_ms();
-        self.dispatch.borrow_mut().suspected_features.record(now_ms, &wanted.parts);
+        self.dispatch.borrow_mut().suspected_features.record(now_ms, &wanted.suspected);
         let dispatch = self.dispatch.borrow();
         let served = |part: &u64| {
             let served_ms = dispatch.served_features.last_served_ms(*part)?;
@@ -228,9 +228,9 @@
                 return;
             }
             let quarantine = &self.node.view.borrow().quarantine;
-            let suspected = evidence.take_questions(now_ms, quarantine);
-            dispatch.suspected_features.record(now_ms, &suspected);
-            for feature in suspected {
+            let question = evidence.take_question(now_ms, quarantine);
+            dispatch.suspected_features.record(now_ms, &question.suspected);
+            for feature in question.features {
                 if let Some(served_ms) = dispatch.served_features.last_served_ms(feature) {
                     evidence.record_served(feature, served_ms);
                 }
