Give a final answer where only the head of a response came

Cause: the head of a response is withheld until its first bytes come. When the response broke off or timed out before, the relay reset the caller's connection as if a part of the answer had been passed on.

Change: a relay that has sent nothing gives the request back to the sequence of attempts. It is tried again where that is allowed, or answered 502, 504 at its deadline. A host's own 504 to another host counts as a timeout there; it was taken for a broken answer and became 502.

Why it works: a reset is left only where the caller has received bytes that can't be completed.

--- a/crates/anvillift-fleet/tests/testsuite/retry_decision.rs
+++ b/crates/anvillift-fleet/tests/testsuite/retry_decision.rs
@@ -86,3 +86,15 @@
         NextStep::End(FinalOutcome::Refused)
     );
 }
+
+/// A request that may crash workers is repeated at one worker after the other.
+#[test]
+fn a_suspected_request_is_not_repeated_once_it_may_have_run() {
+    for kind in [RepeatKind::Idempotent, RepeatKind::ResumableStream] {
+        let suspected = RequestState { is_suspected: true, ..state(kind, 1, 3) };
+        let broken = NextStep::End(FinalOutcome::Unknown);
+        assert_eq!(retry_decision::next_step(AttemptEnd::Broken, &suspected), broken);
+        let not_sent = retry_decision::next_step(AttemptEnd::NotSent, &suspected);
+        assert_eq!(not_sent, NextStep::TryAnother);
+    }
+}
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -6,6 +6,7 @@
 
 use anvillift_fleet::retry_decision::AttemptEnd;
 use anvillift_http::{BodyReader, Connection, Framing, HttpError, Progress, ResponseHead};
+use anvillift_schema::code::Code;
 use anvillift_schema::name::Name;
 use tokio::time;
 
@@ -160,6 +161,8 @@
         answered_early: bool,
     ) -> AttemptOutcome {
         let names = &self.node.dialect.headers;
+        // An answer that a host produces itself has no request id.
+        let is_own_answer = !head.headers.contains(names.request_id);
         let was_not_run_by_host = target.is_host && head.headers.contains(NOT_RUN_HEADER);
         let framing = match Framing::of_response(&head, &request.head.method) {
             Ok(framing) => framing,
@@ -174,6 +177,10 @@
                 format!("rejected with {}", head.status),
             );
         }
+        if target.is_host && head.status == Code::UpstreamTimeout.status() && is_own_answer {
+            let reason = "no response by the deadline at the other host".to_owned();
+            return AttemptOutcome::NoResponse(AttemptEnd::TimedOut, reason);
+        }
         if head.headers.get(names.request_id) != Some(&request.id) {
             let reason =
                 format!("response with status {} lacks the id of this request", head.status);
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -12,6 +12,7 @@
 use crate::entry::attempt::{AttemptOutcome, StartedResponse};
 use crate::entry::attempts::{Attempts, StartedAttempt};
 use crate::entry::front::ConnectionAction;
+use crate::entry::relay::RelayEnd;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
@@ -57,9 +58,22 @@
                     self.record_response(request, &mut started);
                     if !self.should_retry_failure(request, &attempts, &started.target, &response) {
                         log_attempt(request, &started, "answered", "");
-                        return self
-                            .relay(caller, request, started, *response, attempts, keep_alive)
-                            .await;
+                        let relayed =
+                            self.relay(caller, request, started, *response, attempts, keep_alive);
+                        let end = match relayed.await {
+                            RelayEnd::Answered(action) => return action,
+                            RelayEnd::NothingSent(so_far, end) => {
+                                attempts = so_far;
+                                self.outcome_after(request, &attempts, end)
+                            }
+                        };
+                        if let Some(end) = end {
+                            let failure = self.failure_of(request, &attempts, end);
+                            return self
+                                .reply_failure(caller, request, &attempts, failure, keep_alive)
+                                .await;
+                        }
+                        continue;
                     }
                     self.finish_attempt(request, started, Some(true), "failed", "");
                     drain_body(*response).await;
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -1,10 +1,12 @@
 //! Relays a response to the caller as it arrives.
 //!
 //! A truncated response resets the caller's connection without the final chunk, so that
-//! the caller can't take it for a complete one.
+//! the caller can't take it for a complete one. If nothing of it has been passed on, the
+//! caller gets another final answer instead.
 
 use std::time::Duration;
 
+use anvillift_fleet::retry_decision::AttemptEnd;
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 use bytes::Bytes;
@@ -37,6 +39,15 @@
     Abandoned(AnswerOutcome),
 }
 
+/// How a relay ended.
+pub(super) enum RelayEnd {
+    /// The answer is over, for better or worse.
+    Answered(ConnectionAction),
+    /// The response failed before any byte of it was passed on, so that the request can
+    /// still be tried again, or gets another final answer.
+    NothingSent(Attempts, AttemptEnd),
+}
+
 impl Entry {
     /// Relays a response to the caller until it is complete, or resumes it at
     /// other workers where possible.
@@ -48,7 +59,7 @@
         response: StartedResponse,
         mut attempts: Attempts,
         keep_alive: bool,
-    ) -> ConnectionAction {
+    ) -> RelayEnd {
         let keep_alive = keep_alive && !self.node.is_leaving();
         let mut writer = ResponseWriter::new(&response, request, keep_alive);
         let mut upstream = UpstreamResponse::new(request, started, response);
@@ -69,7 +80,7 @@
                             None,
                             AnswerOutcome::CallerLeft,
                         );
-                        return ConnectionAction::Close;
+                        return RelayEnd::Answered(ConnectionAction::Close);
                     }
                 }
                 RelayStep::Stalled => {
@@ -102,10 +113,13 @@
                             &writer,
                             AnswerOutcome::Truncated,
                         );
+                        if !writer.has_started() {
+                            return RelayEnd::NothingSent(attempts, AttemptEnd::Broken);
+                        }
                         // The caller may take the stream up at another host right away.
                         self.announce_streams();
                         caller.reset_on_drop();
-                        return ConnectionAction::Close;
+                        return RelayEnd::Answered(ConnectionAction::Close);
                     };
                     upstream = next;
                 }
@@ -121,17 +135,18 @@
                         Some(success),
                         AnswerOutcome::Complete,
                     );
-                    return if keep_alive {
-                        ConnectionAction::Keep
-                    } else {
-                        ConnectionAction::Close
-                    };
+                    let action =
+                        if keep_alive { ConnectionAction::Keep } else { ConnectionAction::Close };
+                    return RelayEnd::Answered(action);
                 }
                 RelayStep::Abandoned(outcome) => {
                     self.record_unanswered(request, &upstream.target);
                     self.finish_response(request, upstream, &writer, None, outcome);
+                    if outcome == AnswerOutcome::TimedOut && !writer.has_started() {
+                        return RelayEnd::NothingSent(attempts, AttemptEnd::TimedOut);
+                    }
                     caller.reset_on_drop();
-                    return ConnectionAction::Close;
+                    return RelayEnd::Answered(ConnectionAction::Close);
                 }
             }
         }
