--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,12 @@
 //! Development tasks of the repository.
 //!
 //! `cargo xtask codegen` generates Rust types from the schemas, `cargo xtask
-//! codegen --check` compares them with the committed files, and `cargo xtask
-//! soak` runs the whole system under injected faults.
+//! codegen --check` compares them with the committed files, `cargo xtask journal` checks
+//! that the pages name each broken rule of the journal, and `cargo xtask soak` runs the whole
+//! system under injected faults.
 
 mod codegen;
+mod journal;
 mod soak;
 
 use std::process;
@@ -20,6 +22,7 @@
 #[argh(subcommand)]
 enum Task {
     Codegen(codegen::Codegen),
+    Journal(journal::Journal),
     Soak(soak::Soak),
 }
 
@@ -27,6 +30,7 @@
     let arguments: Arguments = argh::from_env();
     let result = match arguments.task {
         Task::Codegen(task) => task.execute().map_err(|error| error.to_string()),
+        Task::Journal(task) => task.execute().map_err(|error| error.to_string()),
         Task::Soak(task) => task.execute().map_err(|error| error.to_string()),
     };
     if let Err(error) = result {
