--- a/xtask/src/journal.rs
+++ b/xtask/src/journal.rs
@@ -51,12 +51,10 @@
             read_lines(&self.root.join(page), &mut lines)?;
         }
         let mut unnamed = Vec::new();
-        let mut entries = 0;
         for path in files_in(&self.root.join("journal"))? {
             if path.extension().is_none_or(|extension| extension != "json") {
                 continue;
             }
-            entries += 1;
             let run = broken_run(&path)?;
             if !run.rules.is_empty() && !lines.iter().any(|line| run.is_named_by(line)) {
                 let rules: Vec<&str> = run.rules.iter().map(String::as_str).collect();
@@ -64,7 +62,6 @@
             }
         }
         ensure!(unnamed.is_empty(), UnnamedSnafu { unnamed });
-        println!("journal: every broken rule of {entries} entries is named");
         Ok(())
     }
 }
@@ -78,8 +75,10 @@
 /// The rules that were broken on any day of an entry.
 fn broken_run(path: &Path) -> Result<BrokenRun, JournalError> {
     let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-    let entry: Value = serde_json::from_str(&text)
-        .map_err(|error| JournalError::Entry { path: path.to_owned(), reason: error.to_string() })?;
+    let entry: Value = serde_json::from_str(&text).map_err(|error| JournalError::Entry {
+        path: path.to_owned(),
+        reason: error.to_string(),
+    })?;
     let reason = "it has no id";
     let Some(id) = entry["id"].as_str() else { return EntrySnafu { path, reason }.fail() };
     let days = entry["days"].as_array().map(Vec::as_slice).unwrap_or_default();
