Reject short prompts, too, while the wait for a slot is long

Cause, traced from the hosts' lines: prompts below 3,000 tokens are never rejected. They fill the slots and queues of the workers, and wait 2 to 2.9 s for 8 s after the burst. Not looked into further: workers that work for callers that have left, callers that return.

Change: from the run time of recent answers and the requests per worker that hosts report, the wait for a slot is estimated; from 0.8 of the route's target on a growing share of prompts is rejected, all of them above the target.

--- a/crates/anvillift-fleet/src/admission.rs
+++ b/crates/anvillift-fleet/src/admission.rs
@@ -22,7 +22,13 @@
 /// Largest share that is rejected. The rest keeps the workers busy if the reported
 /// backlog is outdated.
 const MAX_REJECTED_SHARE: f64 = 0.9;
-/// Shortest prompt that may be rejected, in tokens.
+/// Expected wait for a slot from which prompts are rejected, as a multiple of the target
+/// latency. What is left of the target is for the prompt itself.
+const MAX_SLOT_WAIT: f64 = 0.8;
+/// Wait for a slot above that limit at which the largest share is rejected, as a multiple of
+/// the target latency.
+const FULL_SLOT_REJECTION_EXCESS: f64 = 0.4;
+/// Shortest prompt that may be rejected for the backlog of prompts, in tokens.
 const MIN_REJECTED_TOKENS: u64 = 3_000;
 
 /// Whether a prompt may be rejected because of a backlog.
@@ -44,6 +50,19 @@
     pub is_most_urgent: bool,
 }
 
+/// Whether a prompt is rejected since all slots are taken and others wait for them;
+/// `draw` lies between 0 and 1.
+pub fn rejects_for_slots(slot_wait_ms: f64, target_ms: u64, draw: f64) -> bool {
+    if target_ms == 0 {
+        return false;
+    }
+    let wait = slot_wait_ms / target_ms as f64;
+    let share = ((wait - MAX_SLOT_WAIT) / FULL_SLOT_REJECTION_EXCESS).min(MAX_REJECTED_SHARE);
+    // A prompt that waits longer than the target is late anyway, and those that already wait
+    // keep the workers busy.
+    draw < share || wait > 1.0
+}
+
 /// Whether a long prompt is rejected; `draw` lies between 0 and 1.
 pub fn rejects(expected: &ExpectedWait, draw: f64) -> bool {
     if expected.target_ms == 0 {
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod in_flight;
 mod limit_share;
 mod notices;
+mod overload;
 mod prefixes;
 mod region_contact;
 mod retries;
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -6,8 +6,8 @@
 use anvillift_fleet::choose::Degradation;
 use anvillift_fleet::{
     AnswerTimeouts, ColdShare, InFlight, InFlightRequest, InFlightTable, LimitShare, PrefixCounts,
-    Prompt, PromptSpeed, RetryShare, RetryShareSettings, ServedFeatures, SuspectedFeatures,
-    WorkerHealth, WorkerHealthSettings, WorkerNotices, WorkerStart,
+    Prompt, PromptSpeed, RetryShare, RetryShareSettings, RunTime, ServedFeatures,
+    SuspectedFeatures, WorkerHealth, WorkerHealthSettings, WorkerNotices, WorkerStart,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
@@ -27,6 +27,8 @@
     pub(crate) prefix_counts: BTreeMap<Name, PrefixCounts>,
     /// Speed at which the workers of this region process prompts, by service.
     pub(crate) prompt_speeds: BTreeMap<Name, PromptSpeed>,
+    /// How long the workers of this region run a request, by service.
+    pub(crate) run_times: BTreeMap<Name, RunTime>,
     /// What workers have said in their answers.
     pub(crate) notices: WorkerNotices,
     /// Features of the requests that this host has served.
@@ -51,6 +53,7 @@
             rng: SmallRng::seed_from_u64(seed),
             prefix_counts: BTreeMap::new(),
             prompt_speeds: BTreeMap::new(),
+            run_times: BTreeMap::new(),
             notices: WorkerNotices::default(),
             served_features: ServedFeatures::default(),
             suspected_features: SuspectedFeatures::default(),
@@ -160,6 +163,7 @@
             self.retries.retain(|name| configuration.services.contains_key(name));
             self.prefix_counts.retain(|name, _| configuration.services.contains_key(name));
             self.prompt_speeds.retain(|name, _| configuration.services.contains_key(name));
+            self.run_times.retain(|name, _| configuration.services.contains_key(name));
         }
     }
 
--- a/crates/anvillift-node/src/entry/overload.rs
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -17,11 +17,12 @@
     /// Whether a prompt of a caller is rejected because this region has a large backlog
     /// of prompts.
     pub(crate) fn is_overloaded(&self, request: &Request) -> bool {
-        if request.origin != Origin::Caller || !admission::may_reject(&request.prompt) {
+        if request.origin != Origin::Caller || request.prompt.input_tokens == 0 {
             return false;
         }
         let view = self.node.view.borrow();
         let Some(backlog_tokens) = self.backlog_tokens(&view, request) else { return false };
+        let slot_wait_ms = self.slot_wait_ms(&view, request);
         let mut dispatch = self.dispatch.borrow_mut();
         let speed = dispatch.prompt_speeds.get(&request.service).copied().unwrap_or_default();
         let wait_ms = speed.duration_ms(backlog_tokens);
@@ -30,13 +31,17 @@
         });
         let target_ms = request.route.target_latency_ms;
         let expected = ExpectedWait { wait_ms, target_ms, is_most_urgent };
-        let is_rejected = admission::rejects(&expected, dispatch.rng.random());
+        let draw = dispatch.rng.random();
+        let is_long = admission::may_reject(&request.prompt);
+        let is_rejected = admission::rejects_for_slots(slot_wait_ms, target_ms, draw)
+            || is_long && admission::rejects(&expected, draw);
         if is_rejected {
             log::info!(
                 event = Event::PromptRejected.number(), id = request.id.as_str(),
                 service = request.service.as_str(), backlog_tokens = backlog_tokens as u64,
                 backlog_age_ms = view.loads.age_ms(clock::now_ms(), &self.node.settings.region),
-                expected_ms = wait_ms as u64, target_ms = target_ms,
+                expected_ms = wait_ms as u64, slot_wait_ms = slot_wait_ms as u64,
+                target_ms = target_ms,
                 is_most_urgent = is_most_urgent;
                 "prompt rejected: the backlog of this region is too large"
             );
@@ -44,6 +49,26 @@
         is_rejected
     }
 
+    /// Time until a worker of this region has a free slot, in milliseconds.
+    fn slot_wait_ms(&self, view: &FleetView, request: &Request) -> f64 {
+        let own = &self.node.settings.region;
+        let workers = self.ready_workers(view, request, own);
+        let Some(slots) = workers.first().map(|worker| worker.report.slots) else { return 0.0 };
+        let now_ms = clock::now_ms();
+        let per_worker =
+            view.loads.requests_per_worker(now_ms, own, &request.service, workers.len());
+        let dispatch = self.dispatch.borrow();
+        let run_time = dispatch.run_times.get(&request.service).copied().unwrap_or_default();
+        run_time.wait_ms(per_worker.unwrap_or_default(), slots)
+    }
+
+    /// Records how long a worker of this region took from the first to the last byte of a
+    /// complete answer.
+    pub(crate) fn record_run_time(&self, request: &Request, run_ms: u64) {
+        let mut dispatch = self.dispatch.borrow_mut();
+        dispatch.run_times.entry(request.service.clone()).or_default().record(run_ms);
+    }
+
     /// Records that a worker of this region has begun to answer a long prompt.
     pub(crate) fn record_prompt_speed(&self, request: &Request, first_ms: u64) {
         if !admission::may_reject(&request.prompt) {
