Answer requests without a response in one place, and say what admission counts

Cause: the end of a request was answered with the same two calls in three places of the sequence of attempts, and module heads spoke of long prompts only. No change of behaviour.

--- a/crates/anvillift-fleet/src/admission.rs
+++ b/crates/anvillift-fleet/src/admission.rs
@@ -8,6 +8,10 @@
 //! at once while the backlog is large. It is a share, since every host of the region
 //! sees the same backlog at the same time. Prompts of less urgent routes are rejected
 //! first, and short prompts, which add next to nothing to the backlog, are not.
+//!
+//! Prompts of any length take a slot while they run. When more of them arrive than slots
+//! get free, the rest waits at the workers, and goes on waiting after the burst. They are
+//! rejected by the time that a slot is expected to take.
 
 use crate::prompt::Prompt;
 
--- a/crates/anvillift-fleet/src/suspected_features.rs
+++ b/crates/anvillift-fleet/src/suspected_features.rs
@@ -13,7 +13,7 @@
 /// Most features; further ones are ignored.
 const MAX_FEATURES: usize = 1_024;
 
-/// The suspected features.
+/// Features that are suspected for [`SUSPICION_MS`], or until a request with them is served.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectedFeatures {
     /// Time at which each suspicion ends, by feature.
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -34,8 +34,7 @@
                 } else {
                     FinalOutcome::Refused
                 };
-                let failure = self.failure_of(request, &attempts, end);
-                return self.reply_failure(caller, request, &attempts, failure, keep_alive).await;
+                return self.reply_end(caller, request, &attempts, end, keep_alive).await;
             };
             if attempts.attempt_count == 0 && !target.is_host && self.is_overloaded(request) {
                 let failure = RequestFailure::OVERLOADED;
@@ -68,9 +67,8 @@
                             }
                         };
                         if let Some(end) = end {
-                            let failure = self.failure_of(request, &attempts, end);
                             return self
-                                .reply_failure(caller, request, &attempts, failure, keep_alive)
+                                .reply_end(caller, request, &attempts, end, keep_alive)
                                 .await;
                         }
                         continue;
@@ -82,16 +80,26 @@
                     let end =
                         self.finish_without_response(request, &mut attempts, started, end, &reason);
                     if let Some(end) = end {
-                        let failure = self.failure_of(request, &attempts, end);
-                        return self
-                            .reply_failure(caller, request, &attempts, failure, keep_alive)
-                            .await;
+                        return self.reply_end(caller, request, &attempts, end, keep_alive).await;
                     }
                 }
             }
         }
     }
 
+    /// Answers the caller of a request that gets no response.
+    async fn reply_end(
+        &self,
+        caller: &Connection,
+        request: &Request,
+        attempts: &Attempts,
+        end: FinalOutcome,
+        keep_alive: bool,
+    ) -> ConnectionAction {
+        let failure = self.failure_of(request, attempts, end);
+        self.reply_failure(caller, request, attempts, failure, keep_alive).await
+    }
+
     /// The failure that corresponds to the final decision about a request.
     fn failure_of(
         &self,
--- a/crates/anvillift-node/src/entry/overload.rs
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -1,5 +1,5 @@
-//! Rejection of long prompts while this region has a large backlog of them, and the
-//! measured speed that the expected wait is computed from. The policy is
+//! Rejection of prompts while this region has a large backlog of them or no free slots, and
+//! the measured speed and run time that the expected wait is computed from. The policy is
 //! [`admission`].
 
 use anvillift_fleet::admission;
@@ -15,7 +15,7 @@
 
 impl Entry {
     /// Whether a prompt of a caller is rejected because this region has a large backlog
-    /// of prompts.
+    /// of prompts, or no slot for it soon.
     pub(crate) fn is_overloaded(&self, request: &Request) -> bool {
         if request.origin != Origin::Caller || request.prompt.input_tokens == 0 {
             return false;
