Review cases 1 and 3: streams across two software versions

Cause of case 1: how long streams may last is kept in memory only, so a host that starts after the timeout was lowered takes the new software version for that of older streams. Cause of case 3: cores keep the versions of streams in memory, and entry hosts tell them once. Done: two scripts, one of planned work only and one with a kill of all cores; the script of case 4 has a worker that hangs in place of a slow one.

--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -23,8 +23,9 @@
 const DIRECTORY_PORT: u16 = 8143;
 const CONTROL_PORT: u16 = 8146;
 pub const WORKER_PORT: u16 = 8080;
-/// Memory limit of each process, as in the example of the settings.
+/// Memory limits of an entry and of a core machine, as on the sheet of the site.
 pub const MEMORY_MB: u64 = 260;
+const CORE_MEMORY_MB: u64 = 256;
 /// Interval of the workers' reports, as in the example of the settings.
 pub const HEARTBEAT_MS: u64 = 1_200;
 /// Delay after which the platform starts a process again.
@@ -38,7 +39,17 @@
     ends: Vec<Instant>,
 }
 
-/// Three regions with one core and one entry machine each.
+const SIGTERM: i32 = 15;
+
+unsafe extern "C" {
+    fn kill(id: i32, signal: i32) -> i32;
+}
+
+/// Number of a region's second entry machine among the machines that the platform starts.
+const SECOND_ENTRY: usize = 3;
+
+/// Three regions with one core and one entry machine each; the first region may have a second
+/// entry machine.
 pub struct Fleet {
     network: (u8, u8),
     folder: PathBuf,
@@ -60,21 +71,76 @@
             is_over: AtomicBool::new(false),
             record: record.clone(),
         });
+        if let Err(reason) = fleet.prepare(configuration) {
+            fleet.stop();
+            return Err(reason);
+        }
+        Ok(fleet)
+    }
+
+    fn prepare(&self, configuration: &str) -> Result<(), String> {
         for region in 0..REGIONS.len() {
-            fleet.spawn("core", region, true)?;
-            fleet.spawn("entry", region, true)?;
+            self.spawn("core", region, true)?;
+            self.spawn("entry", region, true)?;
         }
-        fleet.until("the first configuration is accepted", || {
-            fleet.operator("POST", "/-/configuration/replace", configuration) == Some(200)
+        self.until("the first configuration is accepted", || {
+            self.operator("POST", "/-/configuration/replace", configuration) == Some(200)
         })?;
         for region in 0..REGIONS.len() {
-            let address = fleet.address(fleet.entry_ip(region), READY_PORT);
-            fleet.until("an entry machine is ready", || {
+            let address = self.address(self.entry_ip(region), READY_PORT);
+            self.until("an entry machine is ready", || {
                 let answer = http::call(address, "GET", "/-/readiness", "", CALL_TIMEOUT);
                 answer.is_ok_and(|(head, _)| head.status() == 200)
             })?;
         }
-        Ok(fleet)
+        Ok(())
+    }
+
+    /// Starts the second entry machine of the first region, and waits until it is ready.
+    pub fn start_second_entry(&self) -> Result<(), String> {
+        self.spawn("entry", SECOND_ENTRY, false)?;
+        let address = self.address(self.entry_ip(SECOND_ENTRY), READY_PORT);
+        self.until("the second entry machine is ready", || {
+            let answer = http::call(address, "GET", "/-/readiness", "", CALL_TIMEOUT);
+            answer.is_ok_and(|(head, _)| head.status() == 200)
+        })
+    }
+
+    /// Kills processes, named ROLE and machine number, at the same moment, and starts them again
+    /// after a delay.
+    pub fn kill_and_restart(
+        &self,
+        machines: &[(&'static str, usize)],
+        delay: Duration,
+    ) -> Result<(), String> {
+        {
+            let mut processes = self.processes.lock().unwrap();
+            for (role, number) in machines {
+                let process = processes.get_mut(&name_of(role, *number));
+                if let Some(child) = process.and_then(|process| process.child.as_mut()) {
+                    child.kill().map_err(|error| error.to_string())?;
+                }
+            }
+            for (role, number) in machines {
+                let process = processes.get_mut(&name_of(role, *number));
+                if let Some(mut child) = process.and_then(|process| process.child.take()) {
+                    child.wait().ok();
+                }
+            }
+        }
+        thread::sleep(delay);
+        machines.iter().try_for_each(|(role, number)| self.spawn(role, *number, false))
+    }
+
+    /// Stops a process with SIGTERM, and starts it again once it has exited.
+    pub fn stop_and_restart(&self, role: &'static str, number: usize) -> Result<(), String> {
+        let name = name_of(role, number);
+        let child = self.processes.lock().unwrap().get_mut(&name).and_then(|it| it.child.take());
+        let mut child = child.ok_or("the process does not run")?;
+        // SAFETY: `kill` only sends a signal, to a process that was started here.
+        unsafe { kill(child.id() as i32, SIGTERM) };
+        child.wait().map_err(|error| error.to_string())?;
+        self.spawn(role, number, false)
     }
 
     fn until(&self, what: &str, mut holds: impl FnMut() -> bool) -> Result<(), String> {
@@ -96,8 +162,13 @@
         self.ip(30 + region as u8)
     }
 
-    fn entry_ip(&self, region: usize) -> Ipv4Addr {
-        self.ip(40 + region as u8)
+    fn entry_ip(&self, number: usize) -> Ipv4Addr {
+        self.ip(40 + number as u8)
+    }
+
+    /// Address for callers of an entry machine.
+    pub fn front_address(&self, number: usize) -> SocketAddr {
+        self.address(self.entry_ip(number), FRONT_PORT)
     }
 
     fn address(&self, ip: Ipv4Addr, port: u16) -> SocketAddr {
@@ -108,23 +179,24 @@
         self.address(self.core_ip(region), CONTROL_PORT)
     }
 
-    /// The first address that the directory of a region names, as a caller asks for it.
-    pub fn resolve(&self, region: usize) -> Option<SocketAddr> {
+    /// The first address that the directory names to a caller of a region, who asks the entry
+    /// machine with this number.
+    pub fn resolve(&self, region: usize, asked: usize) -> Option<SocketAddr> {
         let path = format!(
             "/-/resolve?name=riego.example&region={}&zone={}",
             REGIONS[region], ZONES[region]
         );
-        let address = self.address(self.entry_ip(region), DIRECTORY_PORT);
+        let address = self.address(self.entry_ip(asked), DIRECTORY_PORT);
         let (head, body) = http::call(address, "GET", &path, "", Duration::from_secs(1)).ok()?;
         let text = String::from_utf8_lossy(&body).into_owned();
         let first = text.split('[').nth(1)?.split('"').nth(1)?;
         (head.status() == 200).then(|| first.parse().ok())?
     }
 
-    fn spawn(&self, role: &str, region: usize, bootstrap: bool) -> Result<(), String> {
-        let name = format!("{role}-{}", ZONES[region]);
+    fn spawn(&self, role: &str, number: usize, bootstrap: bool) -> Result<(), String> {
+        let name = name_of(role, number);
         let settings = self.folder.join(format!("{name}.json"));
-        let text = self.settings(role, region, &name, bootstrap);
+        let text = self.settings(role, number, &name, bootstrap);
         fs::write(&settings, text).map_err(|error| error.to_string())?;
         let log = self.folder.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(log);
@@ -137,15 +209,15 @@
             .spawn()
             .map_err(|error| format!("{PROGRAM}: {error}"))?;
         let mut processes = self.processes.lock().unwrap();
-        let process =
-            processes.entry(name).or_insert(Process { child: None, ends: Vec::new() });
+        let process = processes.entry(name).or_insert(Process { child: None, ends: Vec::new() });
         process.child = Some(child);
         Ok(())
     }
 
-    fn settings(&self, role: &str, region: usize, name: &str, bootstrap: bool) -> String {
+    fn settings(&self, role: &str, number: usize, name: &str, bootstrap: bool) -> String {
         let is_core = role == "core";
-        let ip = if is_core { self.core_ip(region) } else { self.entry_ip(region) };
+        let ip = if is_core { self.core_ip(number) } else { self.entry_ip(number) };
+        let region = number % REGIONS.len();
         let listen = if is_core {
             format!("{{\"control\":\"{ip}:{CONTROL_PORT}\"}}")
         } else {
@@ -162,7 +234,9 @@
             .map(|(zone, region)| format!("\"{zone}\":\"{region}\""))
             .collect();
         let data = match is_core {
-            true => format!("{:?}", self.folder.join(format!("data-{region}")).display().to_string()),
+            true => {
+                format!("{:?}", self.folder.join(format!("data-{region}")).display().to_string())
+            }
             false => "null".to_owned(),
         };
         format!(
@@ -170,7 +244,7 @@
              \"serves\":[],\"ip_address\":\"{ip}\",\"zone\":\"{}\",\"region\":\"{}\",\
              \"zones\":{{{}}},\"listen\":{listen},\"internal_ports\":[7660,7675],\
              \"seeds\":[{}],\"bootstrap\":{bootstrap},\"failure_counted\":{is_core},\
-             \"limits\":{{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":{MEMORY_MB},\
+             \"limits\":{{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":{},\
              \"file_descriptors\":4100,\"link_mbps\":1000.0,\"disk_mb\":128}},\
              \"data_directory\":{data},\"discovery\":\"registration\",\"entry\":\"directory\",\
              \"heartbeat_interval_ms\":{HEARTBEAT_MS},\
@@ -189,6 +263,7 @@
             REGIONS[region],
             zones.join(","),
             seeds.join(","),
+            memory_limit_mb(role),
         )
     }
 
@@ -224,7 +299,14 @@
         let fleet = Arc::clone(self);
         thread::spawn(move || {
             while !fleet.is_over.load(Ordering::Relaxed) {
-                for (role, region) in [("entry", 0), ("entry", 1), ("entry", 2), ("core", 0), ("core", 1), ("core", 2)] {
+                for (role, region) in [
+                    ("entry", 0),
+                    ("entry", 1),
+                    ("entry", 2),
+                    ("core", 0),
+                    ("core", 1),
+                    ("core", 2),
+                ] {
                     fleet.check_memory(role, region);
                 }
                 thread::sleep(Duration::from_millis(5));
@@ -233,9 +315,10 @@
     }
 
     fn check_memory(self: &Arc<Self>, role: &'static str, region: usize) {
-        let name = format!("{role}-{}", ZONES[region]);
+        let name = name_of(role, region);
         let Some(bytes) = self.memory_bytes(&name) else { return };
-        if bytes <= MEMORY_MB * 1024 * 1024 {
+        let limit_mb = memory_limit_mb(role);
+        if bytes <= limit_mb * 1024 * 1024 {
             return;
         }
         {
@@ -247,7 +330,7 @@
             process.ends.push(Instant::now());
         }
         self.record.line(&format!(
-            "platform: {name} uses {} MB of {MEMORY_MB} MB and is killed",
+            "platform: {name} uses {} MB of {limit_mb} MB and is killed",
             bytes / (1024 * 1024)
         ));
         let fleet = Arc::clone(self);
@@ -292,14 +375,26 @@
     }
 }
 
+/// Name of the process of a machine.
+fn name_of(role: &str, number: usize) -> String {
+    format!("{role}-{}-{}", ZONES[number % ZONES.len()], 1 + number / ZONES.len())
+}
+
+fn memory_limit_mb(role: &str) -> u64 {
+    if role == "core" { CORE_MEMORY_MB } else { MEMORY_MB }
+}
+
 /// The second and third octet of loopback addresses whose ports are free.
 fn unused_network() -> Option<(u8, u8)> {
     let id = process::id();
-    let candidates = (0..200).map(|offset| (20 + ((id + offset) % 200) as u8, (id / 200 % 250) as u8));
+    let candidates =
+        (0..200).map(|offset| (20 + ((id + offset) % 200) as u8, (id / 200 % 250) as u8));
     let mut free = candidates.filter(|(second, third)| {
         let hosts = [(30, CONTROL_PORT), (31, CONTROL_PORT), (32, CONTROL_PORT), (40, FRONT_PORT)];
         hosts.iter().chain(&[(41, FRONT_PORT), (42, FRONT_PORT), (100, WORKER_PORT)]).all(
-            |(last, port)| TcpListener::bind((Ipv4Addr::new(127, *second, *third, *last), *port)).is_ok(),
+            |(last, port)| {
+                TcpListener::bind((Ipv4Addr::new(127, *second, *third, *last), *port)).is_ok()
+            },
         )
     });
     free.next()
@@ -315,10 +410,26 @@
         )
     };
     let routes = [
-        route("plan", "streaming", "\"timeout_ms\":8000,\"target_latency_ms\":1200,\"service\":\"asistente\",\"attempts\":1,\"session_affinity\":true,\"resumable\":false,\"gap_target_ms\":400"),
-        route("consulta", "streaming", "\"timeout_ms\":5000,\"target_latency_ms\":800,\"service\":\"asistente\",\"attempts\":2,\"session_affinity\":true,\"resumable\":true,\"gap_target_ms\":400"),
-        route("orden", "non_idempotent", "\"timeout_ms\":4000,\"target_latency_ms\":500,\"service\":\"control\",\"attempts\":1,\"session_affinity\":false,\"resumable\":false,\"gap_target_ms\":0"),
-        route("estado", "idempotent", "\"timeout_ms\":4000,\"target_latency_ms\":500,\"service\":\"control\",\"attempts\":2,\"session_affinity\":false,\"resumable\":false,\"gap_target_ms\":0"),
+        route(
+            "plan",
+            "streaming",
+            "\"timeout_ms\":8000,\"target_latency_ms\":1200,\"service\":\"asistente\",\"attempts\":1,\"session_affinity\":true,\"resumable\":false,\"gap_target_ms\":400",
+        ),
+        route(
+            "consulta",
+            "streaming",
+            "\"timeout_ms\":5000,\"target_latency_ms\":800,\"service\":\"asistente\",\"attempts\":2,\"session_affinity\":true,\"resumable\":true,\"gap_target_ms\":400",
+        ),
+        route(
+            "orden",
+            "non_idempotent",
+            "\"timeout_ms\":4000,\"target_latency_ms\":500,\"service\":\"control\",\"attempts\":1,\"session_affinity\":false,\"resumable\":false,\"gap_target_ms\":0",
+        ),
+        route(
+            "estado",
+            "idempotent",
+            "\"timeout_ms\":4000,\"target_latency_ms\":500,\"service\":\"control\",\"attempts\":2,\"session_affinity\":false,\"resumable\":false,\"gap_target_ms\":0",
+        ),
     ];
     format!(
         "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[\
@@ -332,3 +443,16 @@
         routes.join(",")
     )
 }
+
+/// The same configuration, in which the streams that may be resumed last up to 8 s.
+pub fn configuration_of_long_streams() -> String {
+    configuration(1, "").replace("\"timeout_ms\":5000", "\"timeout_ms\":8000")
+}
+
+/// A configuration whose only streams may be resumed, with this timeout.
+pub fn configuration_of_one_stream_route(version: u64, timeout_ms: u64) -> String {
+    let document = configuration(version, "");
+    let document = document.replace("\"timeout_ms\":5000", &format!("\"timeout_ms\":{timeout_ms}"));
+    // The other route with streams takes commands instead.
+    document.replacen("\"kind\":\"streaming\"", "\"kind\":\"non_idempotent\"", 1)
+}
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,9 +7,13 @@
 
 mod fleet;
 mod http;
+mod many_changes;
 mod record;
+mod resumed_streams;
 mod stalled_stream;
+mod streams;
 mod uploads;
+mod version_change;
 mod worker;
 
 use std::env;
@@ -27,7 +31,10 @@
     let record = Record::create(path);
     record.line(&format!("case {case}, disruption {}", if has_trouble { "on" } else { "off" }));
     let result = match case.as_str() {
+        "version-change" => version_change::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
+        "many-changes" => many_changes::run(&record, has_trouble),
+        "resumed-streams" => resumed_streams::run(&record, has_trouble),
         "stalled-stream" => stalled_stream::run(&record, has_trouble),
         other => Err(format!("unknown case {other}")),
     };
--- a/review/stand-ins/stalled_stream.rs
+++ b/review/stand-ins/stalled_stream.rs
@@ -3,7 +3,8 @@
 //!
 //! Each worker makes tokens and sends an event for every five of them. The head of an answer comes
 //! with its first event. The first worker preempts the stream after some events, reads it in
-//! again and goes on; that is ordinary. The disruption is that the second worker is slow.
+//! again and goes on; that is ordinary. The disruption is that the second worker hangs: it begins
+//! to run the request and never answers.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -20,10 +21,8 @@
 /// Tokens of an event, and events of a stream.
 const TOKENS_PER_EVENT: u32 = 5;
 const EVENTS: u64 = 9;
-/// Time for a token at a worker with all places taken (4.55 ms + 64 x 0.181 ms), and at one that
-/// works six times as long.
+/// Time for a token at a worker with all places taken (4.55 ms + 64 x 0.181 ms).
 const TOKEN: Duration = Duration::from_micros(16_100);
-const SLOW_TOKEN: Duration = Duration::from_micros(96_600);
 /// Event after which the first worker preempts the stream, and for how long.
 const PREEMPTED_AFTER: u64 = 4;
 const PREEMPTED: Duration = Duration::from_millis(2_100);
@@ -94,8 +93,8 @@
          another: {broken}",
         ALLOWED_OVERLAP.as_millis()
     ));
-    if complete == 0 {
-        return Err("no stream was served".to_owned());
+    if runs.is_empty() {
+        return Err("no stream reached a worker".to_owned());
     }
     Ok(broken > 0)
 }
@@ -112,7 +111,6 @@
     let last_event_id = request.head.get("last-event-id").and_then(|text| text.parse().ok());
     let last_event_id: u64 = last_event_id.unwrap_or(0);
     let is_resumed = last_event_id > 0;
-    let token = if is_resumed && has_trouble { SLOW_TOKEN } else { TOKEN };
     let now = Instant::now();
     let run = {
         let mut runs = runs.lock().unwrap();
@@ -131,12 +129,19 @@
     let mut head = worker::ok_head(id, fields);
     for event in last_event_id + 1..=EVENTS {
         for _ in 0..TOKENS_PER_EVENT {
-            thread::sleep(token);
+            thread::sleep(TOKEN);
             if channel.is_closed() {
                 record.line(&format!("{name}: {id} is cancelled before event {event}"));
                 return false;
             }
             runs.lock().unwrap()[run].last_token = Instant::now();
+            while has_trouble && is_resumed {
+                thread::sleep(TOKEN);
+                if channel.is_closed() {
+                    record.line(&format!("{name}: {id} is cancelled while it hangs"));
+                    return false;
+                }
+            }
         }
         let text = format!("id: {event}\ndata: token\n\n");
         let chunk = format!("{}{:x}\r\n{text}\r\n", std::mem::take(&mut head), text.len());
@@ -154,9 +159,9 @@
     channel.write(b"0\r\n\r\n").is_ok()
 }
 
-/// Asks for a stream and returns how many events came before its end; 0 if it broke off.
+/// Asks for a stream and returns how many events came before it ended or broke off.
 fn call(fleet: &Fleet, id: &str) -> Result<u64, String> {
-    let address = fleet.resolve(0).ok_or("the directory names no machine")?;
+    let address = fleet.resolve(0, 0).ok_or("the directory names no machine")?;
     let mut channel = Channel::connect(address, TIME_LIMIT).map_err(|error| error.to_string())?;
     let head = format!(
         "POST /consulta/{id} HTTP/1.1\r\nHost: riego.example\r\nX-Anvillift-Request-Id: {id}\r\n\
@@ -171,6 +176,12 @@
     if head.status() != 200 {
         return Ok(0);
     }
-    let Ok(body) = channel.read_body(&head) else { return Ok(0) };
-    Ok(String::from_utf8_lossy(&body).matches("data:").count() as u64)
+    let mut events = 0;
+    while let Ok(chunk) = channel.read_chunk() {
+        if chunk.is_empty() {
+            break;
+        }
+        events += String::from_utf8_lossy(&chunk).matches("data:").count() as u64;
+    }
+    Ok(events)
 }
--- a/review/stand-ins/uploads.rs
+++ b/review/stand-ins/uploads.rs
@@ -91,7 +91,7 @@
     // Until the machines count as in touch, and all know the workers.
     thread::sleep(Duration::from_secs(6));
     fleet.enforce_memory_limit();
-    let name = format!("entry-{}", ZONES[0]);
+    let name = format!("entry-{}-1", ZONES[0]);
     let (is_over, number) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let seen = Arc::new(Mutex::new(Seen::default()));
     let peak = Arc::new(AtomicU64::new(0));
@@ -140,7 +140,8 @@
         record.line(&format!("request {id} reached {worker} whole and got no answer"));
     }
     let peak_mb = peak.load(Ordering::Relaxed) / (1024 * 1024);
-    record.line(&format!("memory of {name} at its peak: {peak_mb} MB; the limit is {MEMORY_MB} MB"));
+    record
+        .line(&format!("memory of {name} at its peak: {peak_mb} MB; the limit is {MEMORY_MB} MB"));
     record.line(&format!("{name} was ended for its memory {} times", fleet.ends(&name)));
     record.line(&format!(
         "passed on from a kept channel to a sound worker and closed without an answer: {}; the \
@@ -167,7 +168,7 @@
     }
     body.extend_from_slice(b"0\r\n\r\n");
     while !is_over.load(Ordering::Relaxed) {
-        let channel = fleet.resolve(0).and_then(|to| Channel::connect(to, TIME_LIMIT).ok());
+        let channel = fleet.resolve(0, 0).and_then(|to| Channel::connect(to, TIME_LIMIT).ok());
         let Some(mut channel) = channel else {
             thread::sleep(Duration::from_millis(100));
             continue;
--- a/review/stand-ins/worker.rs
+++ b/review/stand-ins/worker.rs
@@ -2,7 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -27,8 +27,14 @@
     slots: u64,
     address: SocketAddr,
     serve: Serve,
+    /// Version of its software.
+    pub version: &'static str,
     sequence: Arc<AtomicU64>,
     born_ms: u64,
+    /// Whether it has left, and reports itself no more.
+    has_left: Arc<AtomicBool>,
+    /// Whether it has ended.
+    is_gone: Arc<AtomicBool>,
 }
 
 impl Worker {
@@ -40,6 +46,18 @@
         (service, slots): (&'static str, u64),
         serve: Serve,
     ) -> Result<(), String> {
+        Self::start_version(fleet, last, region, (service, slots), "v1", serve).map(|_| ())
+    }
+
+    /// The same for a worker of another software version.
+    pub fn start_version(
+        fleet: &Arc<Fleet>,
+        last: u8,
+        region: usize,
+        (service, slots): (&'static str, u64),
+        version: &'static str,
+        serve: Serve,
+    ) -> Result<Self, String> {
         let address = SocketAddr::from((fleet.ip(last), WORKER_PORT));
         let listener = TcpListener::bind(address).map_err(|error| error.to_string())?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -50,34 +68,61 @@
             slots,
             address,
             serve,
+            version,
             sequence: Arc::default(),
             born_ms: born.as_millis() as u64,
+            has_left: Arc::default(),
+            is_gone: Arc::default(),
         };
         let accepting = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.is_gone() {
+                    return;
+                }
                 let worker = accepting.clone();
                 thread::spawn(move || worker.serve_connection(Channel::new(stream)));
             }
         });
-        let fleet = Arc::clone(fleet);
+        let (fleet, reporting) = (Arc::clone(fleet), worker.clone());
         thread::spawn(move || {
-            loop {
-                worker.report(&fleet);
+            while !reporting.has_left.load(Ordering::Relaxed) {
+                reporting.report(&fleet);
                 thread::sleep(Duration::from_millis(HEARTBEAT_MS));
             }
         });
-        Ok(())
+        Ok(worker)
+    }
+
+    /// Says that it leaves. Returns whether a core has acknowledged that. It goes on serving
+    /// until [`end`](Self::end).
+    pub fn leave(&self, fleet: &Fleet) -> bool {
+        self.has_left.store(true, Ordering::Relaxed);
+        let path = format!("/-/instances/{}/leave", self.id);
+        (0..REGIONS.len()).any(|offset| {
+            let address = fleet.control_address((self.region + offset) % REGIONS.len());
+            let answer = http::call(address, "POST", &path, "", Duration::from_secs(1));
+            answer.is_ok_and(|(head, _)| head.status() == 200)
+        })
+    }
+
+    /// Ends: its connections are closed at their next event.
+    pub fn end(&self) {
+        self.is_gone.store(true, Ordering::Relaxed);
+    }
+
+    pub fn is_gone(&self) -> bool {
+        self.is_gone.load(Ordering::Relaxed)
     }
 
     /// Reports to the core of the own region, or to the next one that acknowledges it.
     fn report(&self, fleet: &Fleet) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"slots\":{},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\
              \"born\":{}}}",
-            self.service, self.address, ZONES[self.region], self.slots, self.born_ms
+            self.service, self.address, ZONES[self.region], self.version, self.slots, self.born_ms
         );
         let path = format!("/-/instances/{}/heartbeat", self.id);
         for offset in 0..REGIONS.len() {
