--- a/review/stand-ins/stalled_stream.rs
+++ b/review/stand-ins/stalled_stream.rs
@@ -18,6 +18,8 @@
 
 /// Streams that a caller asks for, one after the other.
 const STREAMS: u64 = 5;
+/// End of the id of the last of them.
+const LAST_STREAM: char = '4';
 /// Tokens of an event, and events of a stream.
 const TOKENS_PER_EVENT: u32 = 5;
 const EVENTS: u64 = 9;
@@ -111,6 +113,8 @@
     let last_event_id = request.head.get("last-event-id").and_then(|text| text.parse().ok());
     let last_event_id: u64 = last_event_id.unwrap_or(0);
     let is_resumed = last_event_id > 0;
+    // Four of the ten runs hang: those that take up each of the streams but the last.
+    let hangs = has_trouble && is_resumed && !request.id.ends_with(LAST_STREAM);
     let now = Instant::now();
     let run = {
         let mut runs = runs.lock().unwrap();
@@ -135,7 +139,7 @@
                 return false;
             }
             runs.lock().unwrap()[run].last_token = Instant::now();
-            while has_trouble && is_resumed {
+            while hangs {
                 thread::sleep(TOKEN);
                 if channel.is_closed() {
                     record.line(&format!("{name}: {id} is cancelled while it hangs"));
--- a/review/stand-ins/version_change.rs
+++ b/review/stand-ins/version_change.rs
@@ -26,7 +26,7 @@
 const CHANGE_AT: Duration = Duration::from_millis(400);
 const STOP_AT: Duration = Duration::from_millis(600);
 const LEAVE_AT: Duration = Duration::from_millis(1_800);
-const END_AT: Duration = Duration::from_millis(6_000);
+const END_AT: Duration = Duration::from_millis(6_400);
 /// The entry machine at which the streams begin, and the one that is restarted.
 const FIRST_ENTRY: usize = 0;
 const RESTARTED_ENTRY: usize = 3;
