Review case 2: uploads that stay below the link of the machine

Cause: the callers of the script sent more than the link of an entry machine carries, so that its packets might count as held up. Done: bodies take 2 s to send, callers come evenly spread in ordinary times, and the worker begins its answer after 1.5 s.

--- a/review/stand-ins/uploads.rs
+++ b/review/stand-ins/uploads.rs
@@ -2,10 +2,12 @@
 //! memory than it has, is ended for that, and the requests that it has passed on to sound workers
 //! get no answer.
 //!
-//! Callers of one region send commands, one after the other on a kept channel each. The
-//! disruption multiplies the number of callers by 2.5 for ten seconds.
+//! Callers of one region ask for plans, one after the other on a kept channel each, with bodies
+//! that take 2 s to send: together they stay below the machine's link. A worker begins its answer
+//! after 1.5 s. In ordinary times they come evenly spread. The disruption multiplies the number of callers by 2.5 for ten seconds.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::Result as IoResult;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -17,17 +19,22 @@
 use crate::worker::{self, Worker};
 
 /// Callers in ordinary times, and during the burst: 2.5 times as many.
-const CALLERS: usize = 12;
-const BURST_CALLERS: usize = 30;
+const CALLERS: usize = 24;
+const BURST_CALLERS: usize = 60;
 /// Ordinary times before the burst, and its length.
-const BEFORE: Duration = Duration::from_secs(4);
+const BEFORE: Duration = Duration::from_millis(7_500);
 const BURST: Duration = Duration::from_secs(10);
 /// Size of a body, within `body_bytes` of the limits (4,194,304), and of one of its chunks.
 const BODY_BYTES: usize = 4_190_208;
 const CHUNK_BYTES: usize = 16 * 1024;
-/// Requests that a worker runs at once, and how long it works on one.
-const SLOTS: u64 = 6;
-const WORK: Duration = Duration::from_millis(60);
+/// Time in which a caller sends a body. With the time to the answer, 60 callers send 575 Mbit/s,
+/// and the link of an entry machine has 1,000 Mbit/s.
+const SENDING: Duration = Duration::from_millis(2_000);
+/// Parts of a body that are sent at even intervals.
+const PARTS: usize = 30;
+/// Requests that a worker runs at once, and the time to the first event of its answer.
+const SLOTS: u64 = 64;
+const WORK: Duration = Duration::from_millis(1_500);
 /// Time limit of a caller.
 const TIME_LIMIT: Duration = Duration::from_secs(8);
 /// The rule allows three channels that are closed without an answer.
@@ -82,11 +89,13 @@
                 return false;
             }
             slots.run(WORK);
-            let fields = "Content-Type: text/plain\r\nContent-Length: 800\r\n";
-            let answer = worker::ok_head(&request.id, fields) + &"x".repeat(800);
+            let fields = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+            let events = "id: 1\ndata: plan\n\nid: 2\ndata: end\n\n";
+            let head = worker::ok_head(&request.id, fields);
+            let answer = format!("{head}{:x}\r\n{events}\r\n0\r\n\r\n", events.len());
             channel.write(answer.as_bytes()).is_ok()
         };
-        Worker::start(fleet, last, region, ("control", SLOTS), Arc::new(serve))?;
+        Worker::start(fleet, last, region, ("asistente", SLOTS), Arc::new(serve))?;
     }
     // Until the machines count as in touch, and all know the workers.
     thread::sleep(Duration::from_secs(6));
@@ -107,19 +116,21 @@
             }
         }));
     }
-    let mut add_callers = |count: usize| {
+    let mut add_callers = |count: usize, pause: Duration| {
         for _ in 0..count {
+            thread::sleep(pause);
             let (fleet, number) = (Arc::clone(fleet), Arc::clone(&number));
             let (is_over, seen) = (Arc::clone(&is_over), Arc::clone(&seen));
             threads.push(thread::spawn(move || call_until(&fleet, &number, &is_over, &seen)));
         }
     };
-    record.line(&format!("{CALLERS} callers send commands with bodies of {BODY_BYTES} bytes"));
-    add_callers(CALLERS);
-    thread::sleep(BEFORE);
+    record.line(&format!("{CALLERS} callers ask for plans with bodies of {BODY_BYTES} bytes"));
+    let began = Instant::now();
+    add_callers(CALLERS, (SENDING + WORK) / CALLERS as u32);
+    thread::sleep(BEFORE.saturating_sub(began.elapsed()));
     if has_trouble {
         record.line(&format!("burst: {BURST_CALLERS} callers"));
-        add_callers(BURST_CALLERS - CALLERS);
+        add_callers(BURST_CALLERS - CALLERS, Duration::ZERO);
     }
     thread::sleep(BURST);
     is_over.store(true, Ordering::Relaxed);
@@ -154,7 +165,7 @@
     Ok(lost.len() > MAX_LOST)
 }
 
-/// One caller: sends commands one after the other, on a channel that it keeps.
+/// One caller: asks for plans one after the other, on a channel that it keeps.
 fn call_until(fleet: &Fleet, number: &AtomicU64, is_over: &AtomicBool, seen: &Mutex<Seen>) {
     let chunk = [b'w'; CHUNK_BYTES];
     let mut body = Vec::with_capacity(BODY_BYTES + 16 * 1024);
@@ -177,13 +188,13 @@
         while !is_over.load(Ordering::Relaxed) {
             let id = format!("{:016x}", 0x9c41_0000 + number.fetch_add(1, Ordering::Relaxed));
             let head = format!(
-                "POST /orden/{id} HTTP/1.1\r\nHost: riego.example\r\n\
+                "POST /plan/{id} HTTP/1.1\r\nHost: riego.example\r\n\
                  X-Anvillift-Request-Id: {id}\r\nX-Anvillift-Deadline: {}\r\n\
                  Transfer-Encoding: chunked\r\n\r\n",
                 TIME_LIMIT.as_millis()
             );
             let began = Instant::now();
-            let sent = channel.write(head.as_bytes()).and_then(|()| channel.write(&body));
+            let sent = channel.write(head.as_bytes()).and_then(|()| send(&mut channel, &body));
             let answer = sent.and_then(|()| {
                 let head = channel.read_head()?;
                 channel.read_body(&head)?;
@@ -203,3 +214,14 @@
         }
     }
 }
+
+/// Sends a body at an even rate.
+fn send(channel: &mut Channel, body: &[u8]) -> IoResult<()> {
+    let began = Instant::now();
+    for (number, part) in (0..).zip(body.chunks(body.len().div_ceil(PARTS))) {
+        let due = began + SENDING * number / PARTS as u32;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        channel.write(part)?;
+    }
+    Ok(())
+}
