Log what the retry budget decides

Change: event 2734 and a counter for each decision; the start line says whether the system starts for the first time; the decisions stand in a module of their own. The logic is unchanged.

--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -149,7 +149,7 @@
 pub use region_loads::RegionLoads;
 pub use repeat_kind::RepeatKind;
 pub use request_features::RequestFeatures;
-pub use retry_share::{RetryShare, RetryShareSettings};
+pub use retry_share::{RetryBudgetState, RetryShare, RetryShareSettings};
 pub use route::{Route, Target};
 pub use route_table::RouteTable;
 pub use run_time::RunTime;
--- a/crates/anvillift-fleet/src/retry_share.rs
+++ b/crates/anvillift-fleet/src/retry_share.rs
@@ -32,6 +32,15 @@
 /// hosts do not begin and end at the same time.
 const USED_RATIO: f64 = 0.8;
 
+/// What of the budget of a service a host has used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBudgetState {
+    /// Requests within the window.
+    pub requests: usize,
+    /// Retries within the window.
+    pub retries: usize,
+}
+
 #[derive(Clone, Debug)]
 struct ServiceCounts {
     requests: Window,
@@ -75,6 +84,15 @@
         (counts.retries.count(now_ms) as f64) + 1.0 <= allowed
     }
 
+    /// What of the budget of a service is used.
+    pub fn state(&mut self, now_ms: u64, service: &Name) -> RetryBudgetState {
+        let counts = self.counts_of(service);
+        RetryBudgetState {
+            requests: counts.requests.count(now_ms),
+            retries: counts.retries.count(now_ms),
+        }
+    }
+
     /// Drops the counts of services for which `is_served` is false.
     pub fn retain(&mut self, is_served: impl Fn(&Name) -> bool) {
         self.services.retain(|service, _| is_served(service));
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -242,19 +242,6 @@
         }
     }
 
-    /// Whether the retry budget and the targets left allow another attempt now.
-    pub(crate) fn can_try_another(&self, request: &Request, attempts: &Attempts) -> bool {
-        let now_ms = clock::now_ms();
-        if self.is_suspected(request) {
-            return false;
-        }
-        let hosts = self.sharing_hosts(now_ms);
-        let allows = hosts.is_some_and(|hosts| {
-            self.dispatch.borrow_mut().retries.allows(now_ms, &request.service, hosts)
-        });
-        allows && self.next_target(request, attempts).is_some()
-    }
-
     /// How long to wait for the head of the next response, in milliseconds: up to
     /// the deadline, unless another worker may execute the request as well.
     fn response_timeout_ms(&self, request: &Request, attempts: &Attempts) -> u64 {
@@ -268,20 +255,6 @@
         dispatch.answer_timeouts.timeout_ms(&route.name, route.target_latency_ms).min(remaining_ms)
     }
 
-    fn spend_retry(&self, request: &Request) -> bool {
-        let now_ms = clock::now_ms();
-        self.sharing_hosts(now_ms).is_some_and(|hosts| {
-            self.dispatch.borrow_mut().retries.try_spend(now_ms, &request.service, hosts)
-        })
-    }
-
-    /// Number of entry hosts that share limits, including this one. `None` while
-    /// this host is disconnected from the others and may not use its share.
-    fn sharing_hosts(&self, now_ms: u64) -> Option<usize> {
-        let view = self.node.view.borrow();
-        view.hosts.may_use_share(now_ms).then(|| view.hosts.entry_count())
-    }
-
     /// Whether a failure response should be discarded and another worker tried:
     /// the worker fails often, and another target and attempt are available.
     fn should_retry_failure(
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod request_failure;
 mod response_writer;
 mod resume;
+mod retries;
 mod stream_version;
 mod target;
 mod target_reason;
--- a/crates/anvillift-node/src/run.rs
+++ b/crates/anvillift-node/src/run.rs
@@ -75,7 +75,8 @@
     };
     log::info!(
         event = Event::HostStarted.number(), machine = current.machine.as_str(),
-        boot = process.node().own_host().boot;
+        boot = process.node().own_host().boot,
+        is_first_start = process.node().settings.is_first_start;
         "started as {role}"
     );
     let mut settings_poll = time::interval(SETTINGS_POLL_INTERVAL);
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -92,6 +92,7 @@
     TeamShareApplied = 2731, "info", "A request was rejected by the share of its team in an overloaded service";
     CallRejected = 2732, "info", "A request without a prompt was rejected for the limit on calls in flight";
     RequestTooLate = 2733, "info", "A request was rejected because it could not begin before its deadline";
+    RetryDecided = 2734, "info", "A retry was allowed or refused by the retry budget";
 }
 
 impl Event {
