Keep the retry budget across restarts and moves of callers

Callers saw nothing; workers got more retries than the budget allows (BUDGET). Cause: each host spent a ratio of its requests of the last 10 s and a fixed part of the allowance, both counted in memory. (1) A host that was killed spent its part of the allowance again. (2) When callers move to other hosts, both the hosts that they left and the new ones spend for the requests of a window. Change: what a request earns must be spent within a quarter of the window, so that what hosts spend in any window is at most what the requests in it and shortly before have earned; a host that may have run before has no part of the allowance until that has left the window. At the first start of the fleet nothing can have been spent.

--- a/crates/anvillift-fleet/src/retry_share.rs
+++ b/crates/anvillift-fleet/src/retry_share.rs
@@ -4,6 +4,10 @@
 //! window and over all hosts. Each host spends the ratio of its own requests and an
 //! equal part of the allowance, so that the sum stays within the budget without
 //! messages between the hosts. Rejected attempts count like any other.
+//!
+//! What a request earns has to be spent soon, since its caller may move to another host
+//! that earns for it as well. A host that starts again can't know what the process before
+//! it has spent, so it has no part of the allowance until that has left the window.
 
 use std::collections::BTreeMap;
 
@@ -28,36 +32,65 @@
     }
 }
 
-/// Part of the ratio that is used. The rest is a margin, since the windows of the
-/// hosts do not begin and end at the same time.
+/// Part of the ratio that is used. The rest is a margin for retries earned by requests
+/// before the window.
 const USED_RATIO: f64 = 0.8;
+/// Part of the window within which the retries that requests have earned must be spent.
+const EARNED_WINDOW_PART: u64 = 4;
+/// Time in which all hosts learn of a new host, and so take smaller parts of the
+/// allowance, in milliseconds.
+const HOST_KNOWN_AFTER_MS: u64 = 3_000;
 
-/// What of the budget of a service a host has used.
+/// What of the budget of a service a host has used and may use.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBudgetState {
-    /// Requests within the window.
+    /// Requests that still earn retries.
     pub requests: usize,
-    /// Retries within the window.
-    pub retries: usize,
+    /// Retries spent of what these have earned.
+    pub earned_spent: usize,
+    /// Retries spent of the allowance within the window.
+    pub allowance_spent: usize,
+    /// This host's part of the allowance, in retries.
+    pub allowance: f64,
+}
+
+impl RetryBudgetState {
+    fn has_earned(&self, ratio: f64) -> bool {
+        self.earned_spent as f64 + 1.0 <= self.requests as f64 * ratio * USED_RATIO
+    }
+
+    fn has_allowance(&self) -> bool {
+        self.allowance_spent as f64 + 1.0 <= self.allowance
+    }
 }
 
 #[derive(Clone, Debug)]
 struct ServiceCounts {
     requests: Window,
-    retries: Window,
+    earned_spent: Window,
+    allowance_spent: Window,
 }
 
 /// Counts the requests and retries of this host by service.
 #[derive(Clone, Debug)]
 pub struct RetryShare {
     settings: RetryShareSettings,
+    /// Time from which this host has its part of the allowance, in milliseconds.
+    allowance_from_ms: u64,
     services: BTreeMap<Name, ServiceCounts>,
 }
 
 impl RetryShare {
-    /// Starts without requests; only the allowance can be spent.
+    /// Starts without requests, at the first start of the fleet: no host has spent anything.
     pub fn new(settings: RetryShareSettings) -> Self {
-        Self { settings, services: BTreeMap::new() }
+        Self { settings, allowance_from_ms: 0, services: BTreeMap::new() }
+    }
+
+    /// Starts without requests at a host that may have run before, or that joins a fleet
+    /// whose hosts don't know it yet.
+    pub fn after_restart(settings: RetryShareSettings, now_ms: u64) -> Self {
+        let allowance_from_ms = now_ms + settings.window_ms + HOST_KNOWN_AFTER_MS;
+        Self { allowance_from_ms, ..Self::new(settings) }
     }
 
     /// Counts a request of a caller.
@@ -68,28 +101,36 @@
     /// Whether a retry may be sent, if `hosts` hosts share the allowance. If so,
     /// the retry is counted.
     pub fn try_spend(&mut self, now_ms: u64, service: &Name, hosts: usize) -> bool {
-        let is_allowed = self.allows(now_ms, service, hosts);
-        if is_allowed {
-            self.counts_of(service).retries.add(now_ms);
+        let ratio = self.settings.ratio;
+        let state = self.state(now_ms, service, hosts);
+        let counts = self.counts_of(service);
+        if state.has_earned(ratio) {
+            counts.earned_spent.add(now_ms);
+            true
+        } else if state.has_allowance() {
+            counts.allowance_spent.add(now_ms);
+            true
+        } else {
+            false
         }
-        is_allowed
     }
 
     /// Whether a retry may be sent, without counting it.
     pub fn allows(&mut self, now_ms: u64, service: &Name, hosts: usize) -> bool {
-        let (ratio, allowance) = (self.settings.ratio, self.settings.allowance);
-        let counts = self.counts_of(service);
-        let earned = counts.requests.count(now_ms) as f64 * ratio * USED_RATIO;
-        let allowed = earned + allowance as f64 / hosts.max(1) as f64;
-        (counts.retries.count(now_ms) as f64) + 1.0 <= allowed
+        let state = self.state(now_ms, service, hosts);
+        state.has_earned(self.settings.ratio) || state.has_allowance()
     }
 
-    /// What of the budget of a service is used.
-    pub fn state(&mut self, now_ms: u64, service: &Name) -> RetryBudgetState {
+    /// What of the budget of a service is used, if `hosts` hosts share the allowance.
+    pub fn state(&mut self, now_ms: u64, service: &Name, hosts: usize) -> RetryBudgetState {
+        let has_allowance = now_ms >= self.allowance_from_ms;
+        let allowance = self.settings.allowance as f64 / hosts.max(1) as f64;
         let counts = self.counts_of(service);
         RetryBudgetState {
             requests: counts.requests.count(now_ms),
-            retries: counts.retries.count(now_ms),
+            earned_spent: counts.earned_spent.count(now_ms),
+            allowance_spent: counts.allowance_spent.count(now_ms),
+            allowance: if has_allowance { allowance } else { 0.0 },
         }
     }
 
@@ -101,8 +142,9 @@
     fn counts_of(&mut self, service: &Name) -> &mut ServiceCounts {
         let window_ms = self.settings.window_ms;
         self.services.entry(service.clone()).or_insert_with(|| ServiceCounts {
-            requests: Window::new(window_ms),
-            retries: Window::new(window_ms),
+            requests: Window::new(window_ms / EARNED_WINDOW_PART),
+            earned_spent: Window::new(window_ms / EARNED_WINDOW_PART),
+            allowance_spent: Window::new(window_ms),
         })
     }
 }
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -7,8 +7,8 @@
 use anvillift_fleet::deferral::Deferral;
 use anvillift_fleet::{
     AnswerTimeouts, CallLimit, CallRunTime, ColdShare, ConcurrencyLimit, InFlight, InFlightRequest,
-    InFlightTable, LimitShare, PrefixCounts, Prompt, PromptSpeed, RetryShare, RetryShareSettings,
-    RunTime, ServedFeatures, StreamSpeeds, SuspectedFeatures, WorkerHealth, WorkerHealthSettings,
+    InFlightTable, LimitShare, PrefixCounts, Prompt, PromptSpeed, RetryShare, RunTime,
+    ServedFeatures, StreamSpeeds, SuspectedFeatures, WorkerHealth, WorkerHealthSettings,
     WorkerNotices, WorkerSpeeds, WorkerStart,
 };
 use anvillift_schema::name::Name;
@@ -61,10 +61,10 @@
 }
 
 impl DispatchState {
-    pub(crate) fn new(retries: RetryShareSettings, seed: u64) -> Self {
+    pub(crate) fn new(retries: RetryShare, seed: u64) -> Self {
         Self {
             cold: ColdShare::default(),
-            retries: RetryShare::new(retries),
+            retries,
             rng: SmallRng::seed_from_u64(seed),
             prefix_counts: BTreeMap::new(),
             prompt_speeds: BTreeMap::new(),
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -52,7 +52,8 @@
 use std::time::Duration;
 
 use anvillift_fleet::{
-    BrokenRequests, ConfirmedCrash, ControlFetch, CrashEvidence, ServiceLoads, StreamKey, seed,
+    BrokenRequests, ConfirmedCrash, ControlFetch, CrashEvidence, RetryShare, ServiceLoads,
+    StreamKey, seed,
 };
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
@@ -134,6 +135,17 @@
     pub(crate) leaving_since_ms: Cell<Option<u64>>,
 }
 
+/// This host's share of the retry budgets. At the first start of the fleet nothing can have
+/// been spent of them.
+fn retry_share(settings: &NodeSettings) -> RetryShare {
+    let retries = settings.retries.clone();
+    if settings.is_first_start {
+        RetryShare::new(retries)
+    } else {
+        RetryShare::after_restart(retries, clock::now_ms())
+    }
+}
+
 impl Entry {
     /// Opens the listening sockets and starts the host's tasks.
     pub(crate) fn start(settings: NodeSettings, dialect: Dialect) -> Result<Rc<Self>, NodeError> {
@@ -141,7 +153,7 @@
         let own_host = node.own_host();
         let seed = seed::of_host(&own_host.name, own_host.boot);
         let cores = node.settings.seed_names().len();
-        let dispatch = RefCell::new(DispatchState::new(node.settings.retries.clone(), seed));
+        let dispatch = RefCell::new(DispatchState::new(retry_share(&node.settings), seed));
         let entry = Rc::new(Self {
             node,
             dispatch,
--- a/crates/anvillift-node/src/entry/retries.rs
+++ b/crates/anvillift-node/src/entry/retries.rs
@@ -31,7 +31,7 @@
         let Some(hosts) = self.sharing_hosts(now_ms) else { return false };
         let (state, is_allowed) = {
             let retries = &mut self.dispatch.borrow_mut().retries;
-            let state = retries.state(now_ms, &request.service);
+            let state = retries.state(now_ms, &request.service, hosts);
             (state, retries.try_spend(now_ms, &request.service, hosts))
         };
         let result = if is_allowed { "allowed" } else { "refused" };
@@ -39,7 +39,8 @@
         log::info!(
             event = Event::RetryDecided.number(), id = request.id.as_str(),
             service = request.service.as_str(), is_allowed = is_allowed, hosts = hosts,
-            requests = state.requests, retries = state.retries,
+            requests = state.requests, earned_spent = state.earned_spent,
+            allowance_spent = state.allowance_spent, allowance = state.allowance,
             uptime_ms = now_ms - self.started_ms;
             "retry {result} by the retry budget"
         );
