Keep the quarantine across a restart of all processes

Cause: the quarantine is kept by all hosts, but in memory only; the same class as the retry budget: a bound on the fleet was kept by processes that may be killed together. Change: each core saves the quarantine in its data folder, on a thread of its own, and loads it at its start; entry hosts are told when the link comes up, as before.

--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -54,7 +54,7 @@
 
 /// Replica of the control log, restarted when its storage fails.
 pub(crate) struct ControlLog {
-    folder: DataFolder,
+    folder: Arc<DataFolder>,
     node: Rc<Node>,
     founders: Vec<Name>,
     group: RefCell<GroupHandle>,
@@ -68,7 +68,7 @@
 
 impl ControlLog {
     /// Opens the storage and starts the replica from the recovered log.
-    pub(crate) fn start(node: &Rc<Node>, folder: DataFolder) -> Result<Self, NodeError> {
+    pub(crate) fn start(node: &Rc<Node>, folder: Arc<DataFolder>) -> Result<Self, NodeError> {
         let founders = founder_names(node, &folder)?;
         let (outgoing, outgoing_receiver) = mpsc::unbounded_channel();
         let (changes, _) = watch::channel(0);
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -5,7 +5,7 @@
 //! reports to the other hosts; [`control_log`] runs the replica; [`gossip`] sends
 //! host lists, region loads and control versions, and changes the voters; [`streams`]
 //! remembers which version began a stream; [`crashes`] finds parts of prompts that crash
-//! workers; [`quota`] grants hosts amounts of the quotas of teams.
+//! workers, and [`saved_quarantine`] keeps them across restarts; [`quota`] grants hosts amounts of the quotas of teams.
 
 mod calls;
 mod control_log;
@@ -13,10 +13,12 @@
 mod gossip;
 mod quota;
 mod reports;
+mod saved_quarantine;
 mod streams;
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anvillift_fleet::{ControlMachine, CrashEvidence, WorkerWeights};
@@ -33,6 +35,7 @@
 use crate::core::quota::OwnedQuotas;
 use crate::core::reports::PendingReports;
 pub(crate) use crate::core::reports::confirmation_frame;
+use crate::core::saved_quarantine::SavedQuarantine;
 use crate::dialect::Dialect;
 use crate::error::{NodeError, SettingsSnafu, StorageSnafu};
 use crate::hub::{Hub, HubHooks};
@@ -58,6 +61,7 @@
     published: RefCell<FleetControl>,
     pub(crate) reports: RefCell<PendingReports>,
     crash_evidence: RefCell<CrashEvidence>,
+    quarantine_file: SavedQuarantine,
     quotas: RefCell<OwnedQuotas>,
     /// Speeds and weights of the workers of the fleet.
     weights: RefCell<WorkerWeights>,
@@ -70,6 +74,8 @@
         let path = path.context(SettingsSnafu { reason: "a core host requires a data folder" })?;
         let folder = DataFolder::open(&path).context(StorageSnafu)?;
         let node = Node::new(settings, dialect, folder.storage_id().clone());
+        let folder = Arc::new(folder);
+        let quarantine_file = SavedQuarantine::load(Arc::clone(&folder), &node);
         let log = ControlLog::start(&node, folder)?;
         let core = Rc::new(Self {
             node,
@@ -77,6 +83,7 @@
             published: RefCell::new(ControlMachine::default().state().clone()),
             reports: RefCell::default(),
             crash_evidence: RefCell::default(),
+            quarantine_file,
             quotas: RefCell::default(),
             weights: RefCell::default(),
         });
@@ -186,6 +193,7 @@
             self.node.view.borrow_mut().remove_old_streams(crate::clock::now_ms());
             self.send_region_loads(ticks);
             self.evaluate_crashes();
+            self.save_quarantine();
             self.update_quotas();
             if ticks.is_multiple_of(CLEANUP_TICKS) {
                 self.remove_old_crashes();
