Refuse reports of workers with numbers that no worker can mean

Operators of similar systems saw one odd entry of another writer end the machines that read it. Cause here: a report with a number too large was accepted; the handling of it and of later reports overflowed, calls ended without an answer, its id could not be reported on any more, and requests beside it got 502. Deep nesting and ports out of range were refused before.

--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -64,6 +64,7 @@
 mod recent_sum;
 mod region_loads;
 mod repeat_kind;
+pub mod report_limits;
 mod request_features;
 pub mod retry_after;
 pub mod retry_decision;
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -10,6 +10,7 @@
 use anvillift_schema::fleet::{FleetWorker, FleetWorkerState};
 use anvillift_schema::name::Name;
 
+use crate::report_limits;
 use crate::version_history::VersionHistory;
 use crate::worker_notices::WorkerStart;
 
@@ -102,7 +103,11 @@
 
 impl WorkerTable {
     /// Adds a report. Returns whether it changes anything that routing decisions depend on.
+    /// A report with a number above its limit changes nothing.
     pub fn merge(&mut self, now_ms: u64, report: FleetWorker) -> bool {
+        if report_limits::check(&report).is_err() {
+            return false;
+        }
         let existing = self.workers.get(&report.id);
         if existing.is_some_and(|existing| !supersedes(&report, &existing.report)) {
             return false;
