Let cores agree on the version of a stream that another host began

Cause: a host derived the version by itself from the reports that it had seen. It may have missed a version while it stood still or was cut off for less time than it takes to notice, or have started after a configuration that lowered the timeouts and keep versions in mind for too short a time.

--- a/crates/anvillift-fleet/src/stream_origin.rs
+++ b/crates/anvillift-fleet/src/stream_origin.rs
@@ -1,12 +1,13 @@
-//! Decides which software version began a stream, and which cores keep that in mind.
+//! What a host knows of the software version that began a stream, and which cores keep that
+//! in mind.
 //!
-//! A record of the stream decides. Without one the version is certain only if the
-//! service can have had no other version for as long as a stream may last, as far as
-//! this host can know: it was running all that time and hears every region. Where
-//! this host can't be certain, other hosts can't either, so it tells cores about the
-//! streams that it begins.
+//! A record of the stream decides. Without one a host knows which versions the service has
+//! had, since its start at most. It tells cores about the streams that it begins unless it has
+//! run for as long as a stream may last, hears every region, and has seen one version only. For
+//! a stream that another host began, what one host knows isn't enough, see
+//! [`StreamLookup`](crate::StreamLookup).
 
-use anvillift_schema::fleet::{FleetHost, FleetHostRole};
+use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetStreamEvidence};
 use anvillift_schema::name::Name;
 use anvillift_schema::rendezvous;
 
@@ -29,16 +30,37 @@
     pub retention_ms: Option<u64>,
 }
 
+/// The version that began a stream, as far as one host can tell.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownVersion {
+    /// The version.
+    pub version: Name,
+    /// What the host bases it on.
+    pub evidence: FleetStreamEvidence,
+}
+
 impl OriginFacts<'_> {
     /// The version that must have begun every recent stream of a service, or `None`
     /// if there may have been another one.
     pub fn certain_version(&self, service: &str) -> Option<Name> {
-        let retention_ms = self.retention_ms?;
-        let since_ms = self.now_ms.checked_sub(retention_ms)?;
-        if self.started_ms > since_ms || !self.hosts.are_all_regions_reachable(self.now_ms) {
-            return None;
-        }
-        self.workers.only_version_since(service, since_ms).cloned()
+        let known = self.only_version(service)?;
+        let is_certain = known.evidence == FleetStreamEvidence::OnlyVersionForRetention;
+        is_certain.then_some(known.version)
+    }
+
+    /// The only version of a service that this host has seen for as long as a stream may last,
+    /// or since its start; `None` if there were several, or none.
+    pub fn only_version(&self, service: &str) -> Option<KnownVersion> {
+        let since_ms = self.now_ms.checked_sub(self.retention_ms?)?;
+        let version = self.workers.only_version_since(service, since_ms)?.clone();
+        let has_seen_all =
+            self.started_ms <= since_ms && self.hosts.are_all_regions_reachable(self.now_ms);
+        let evidence = if has_seen_all {
+            FleetStreamEvidence::OnlyVersionForRetention
+        } else {
+            FleetStreamEvidence::OnlyVersionSinceStart
+        };
+        Some(KnownVersion { version, evidence })
     }
 }
 
--- a/crates/anvillift-node/src/core/streams.rs
+++ b/crates/anvillift-node/src/core/streams.rs
@@ -23,8 +23,12 @@
     /// Answers which version began a stream, as far as this host can tell.
     pub(super) fn on_stream_query(&self, from: &Name, query: &FleetStreamQuery) {
         let stream = StreamKey(query.stream);
-        let version = self.node.view.borrow().version_of_stream(stream, &query.service);
-        let answer = FleetStreamAnswer { stream: query.stream, version };
+        let known = self.node.view.borrow().known_version(stream, &query.service);
+        let answer = FleetStreamAnswer {
+            stream: query.stream,
+            evidence: known.as_ref().map(|known| known.evidence),
+            version: known.map(|known| known.version),
+        };
         if let Some(hub) = self.node.hub() {
             hub.send(from, FleetFrame::StreamKnown(answer));
         }
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -15,7 +15,7 @@
 use crate::entry::Entry;
 use crate::entry::attempts::Attempts;
 use crate::entry::request_failure::RequestFailure;
-use crate::entry::stream_version::StreamLookup;
+use crate::entry::stream_version::LookupOutcome;
 use crate::entry::wait::WaitOutcome;
 use crate::fleet_view::FleetView;
 use crate::respond::Reply;
@@ -232,16 +232,16 @@
             }
         }
         match self.find_stream_version(connection, &request).await {
-            StreamLookup::Found(version_constraint) => {
+            LookupOutcome::Found(version_constraint) => {
                 request.version_constraint = version_constraint;
                 self.forward(connection, &request, keep_alive).await
             }
-            StreamLookup::Unknown => {
+            LookupOutcome::Unknown => {
                 let attempts = Attempts::of(&request);
                 let failure = RequestFailure::STREAM_UNKNOWN;
                 self.reply_failure(connection, &request, &attempts, failure, keep_alive).await
             }
-            StreamLookup::CallerLeft => ConnectionAction::Close,
+            LookupOutcome::CallerLeft => ConnectionAction::Close,
         }
     }
 
--- a/crates/anvillift-node/src/entry/stream_version.rs
+++ b/crates/anvillift-node/src/entry/stream_version.rs
@@ -4,17 +4,21 @@
 //! first event is sent. Where the version of other streams of the service isn't
 //! certain, cores are told, in batches, since the caller may take the stream up at
 //! another host. [`Entry::find_stream_version`] looks it up for a request that resumes
-//! a stream: in the own records, and else by asking the cores. The policy is
-//! [`stream_origin`].
+//! a stream: in the own records, and else by asking the cores. The policies are
+//! [`stream_origin`] and [`StreamLookup`](anvillift_fleet::StreamLookup).
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_fleet::{RepeatKind, StreamKey, VersionConstraint, stream_origin};
+use anvillift_fleet::stream_origin::KnownVersion;
+use anvillift_fleet::{
+    LookupState, RepeatKind, StreamKey, StreamLookup, VersionConstraint, stream_origin,
+};
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetFrame, FleetHostRole, FleetStreamAnswer, FleetStreamGroup, FleetStreamQuery, FleetStreams,
+    FleetFrame, FleetHostRole, FleetStreamAnswer, FleetStreamEvidence, FleetStreamGroup,
+    FleetStreamQuery, FleetStreams,
 };
 use anvillift_schema::name::Name;
 use tokio::sync::mpsc;
@@ -29,17 +33,19 @@
 const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(25);
 /// Longest wait for the answers of cores. It covers a round trip to a distant region.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(400);
+/// What the answer of a host that does not say it may be based on at least.
+const EVIDENCE_OF_OLDER_HOSTS: FleetStreamEvidence = FleetStreamEvidence::OnlyVersionForRetention;
 /// Most streams in one frame.
 const MAX_STREAMS_PER_FRAME: usize = 2_000;
 
 /// Answers of cores to one lookup; `None` is an answer without a version.
-type Answers = mpsc::UnboundedReceiver<Option<Name>>;
+type Answers = mpsc::UnboundedReceiver<Option<KnownVersion>>;
 /// Sending end of the answers to one lookup.
-pub(super) type AnswerSender = mpsc::UnboundedSender<Option<Name>>;
+pub(super) type AnswerSender = mpsc::UnboundedSender<Option<KnownVersion>>;
 
 /// Result of a lookup.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(super) enum StreamLookup {
+pub(super) enum LookupOutcome {
     /// The request may be sent to workers that the constraint allows.
     Found(VersionConstraint),
     /// Nobody knows which version began the stream.
@@ -107,27 +113,27 @@
         &self,
         caller: &mut Connection,
         request: &Request,
-    ) -> StreamLookup {
+    ) -> LookupOutcome {
         if let VersionConstraint::Only(_) = &request.version_constraint {
-            return StreamLookup::Found(request.version_constraint.clone());
+            return LookupOutcome::Found(request.version_constraint.clone());
         }
         if !self.resumes_stream(request) {
-            return StreamLookup::Found(VersionConstraint::Any);
+            return LookupOutcome::Found(VersionConstraint::Any);
         }
         let began_ms = clock::now_ms();
         // Nobody has a record of the request's own id, so without an id of the stream
         // only a version that is certain is found.
         let id = request.resumes.as_ref().map_or(request.id.as_str(), Name::as_str);
         let stream = StreamKey::of_request(id);
-        let known = self.node.view.borrow().version_of_stream(stream, &request.service);
-        if known.is_some() {
-            return lookup_result(request, known, "own", began_ms);
+        let recorded = self.node.view.borrow().streams.version(stream).cloned();
+        if recorded.is_some() {
+            return lookup_result(request, recorded, "own", began_ms);
         }
         tokio::select! {
             version = self.ask_cores(stream, &request.service) => {
                 lookup_result(request, version, "cores", began_ms)
             }
-            () = caller.wait_for_close() => StreamLookup::CallerLeft,
+            () = caller.wait_for_close() => LookupOutcome::CallerLeft,
         }
     }
 
@@ -141,31 +147,33 @@
     /// Passes the answer of a core on to the lookups of its stream.
     pub(super) fn on_stream_answer(&self, answer: FleetStreamAnswer) {
         let lookups = self.stream_lookups.borrow();
+        let known = answer.version.map(|version| KnownVersion {
+            version,
+            evidence: answer.evidence.unwrap_or(EVIDENCE_OF_OLDER_HOSTS),
+        });
         for lookup in lookups.get(&StreamKey(answer.stream)).into_iter().flatten() {
             // A lookup that has ended needs no answer.
-            lookup.send(answer.version.clone()).ok();
+            lookup.send(known.clone()).ok();
         }
     }
 
     async fn ask_cores(&self, stream: StreamKey, service: &Name) -> Option<Name> {
         let hub = self.node.hub()?;
-        let cores = self.stream_cores();
+        let cores = self.heard_stream_cores();
         let (sender, answers) = mpsc::unbounded_channel();
         self.stream_lookups.borrow_mut().entry(stream).or_default().push(sender);
+        let lookup = {
+            let view = self.node.view.borrow();
+            let own = view.known_version(stream, service);
+            let asks_all_regions = view.hosts.are_all_regions_reachable(clock::now_ms());
+            StreamLookup::new(own, asks_all_regions, cores.len())
+        };
         let query = FleetStreamQuery { stream: stream.0, service: service.clone() };
         cores.iter().for_each(|core| hub.send(core, FleetFrame::StreamWanted(query.clone())));
-        let version = time::timeout(LOOKUP_TIMEOUT, first_version(answers, cores.len())).await;
+        let version = time::timeout(LOOKUP_TIMEOUT, collect_answers(lookup, answers)).await;
         version.ok().flatten()
     }
 
-    /// Removes the lookups that have ended.
-    pub(super) fn remove_ended_lookups(&self) {
-        self.stream_lookups.borrow_mut().retain(|_, senders| {
-            senders.retain(|sender| !sender.is_closed());
-            !senders.is_empty()
-        });
-    }
-
     /// Linked cores that answer queries about streams.
     fn stream_cores(&self) -> Vec<Name> {
         let Some(hub) = self.node.hub() else { return Vec::new() };
@@ -178,6 +186,15 @@
         names
     }
 
+    /// Those of the [`stream_cores`](Self::stream_cores) from which messages arrive. A core that
+    /// has failed without a word would hold up each lookup.
+    fn heard_stream_cores(&self) -> Vec<Name> {
+        let heard = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
+        let mut names = self.stream_cores();
+        names.retain(|name| heard.iter().any(|host| host.name == *name));
+        names
+    }
+
     fn stream_keepers(&self) -> Vec<Name> {
         let names = self.stream_cores();
         let view = self.node.view.borrow();
@@ -187,14 +204,14 @@
     }
 }
 
-/// Waits for the first answer with a version, until `count` answers have come.
-async fn first_version(mut answers: Answers, count: usize) -> Option<Name> {
-    for _ in 0..count {
-        if let Some(version) = answers.recv().await? {
-            return Some(version);
+/// Waits for answers until they decide.
+async fn collect_answers(mut lookup: StreamLookup, mut answers: Answers) -> Option<Name> {
+    loop {
+        if let LookupState::Decided(version) = lookup.state() {
+            return version;
         }
+        lookup.add(answers.recv().await?);
     }
-    None
 }
 
 fn lookup_result(
@@ -202,7 +219,7 @@
     version: Option<Name>,
     source: &str,
     began_ms: u64,
-) -> StreamLookup {
+) -> LookupOutcome {
     log::info!(
         event = Event::StreamLookedUp.number(), id = request.id.as_str(),
         resumes = request.resumes.as_ref().map_or("", Name::as_str),
@@ -213,7 +230,7 @@
     );
     let result = if version.is_some() { "found" } else { "unknown" };
     metrics::counter!("anvillift_stream_lookups_total", "result" => result).increment(1);
-    version.map_or(StreamLookup::Unknown, |version| {
-        StreamLookup::Found(VersionConstraint::Only(version))
+    version.map_or(LookupOutcome::Unknown, |version| {
+        LookupOutcome::Found(VersionConstraint::Only(version))
     })
 }
--- a/crates/anvillift-node/src/fleet_view.rs
+++ b/crates/anvillift-node/src/fleet_view.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use anvillift_fleet::stream_origin::OriginFacts;
+use anvillift_fleet::stream_origin::{KnownVersion, OriginFacts};
 use anvillift_fleet::{
     FleetConfiguration, HostTable, Quarantine, RegionLoads, RouteTable, StreamKey, StreamVersions,
     TeamTable, WorkerTable,
 };
-use anvillift_schema::fleet::FleetControl;
+use anvillift_schema::fleet::{FleetControl, FleetStreamEvidence};
 use anvillift_schema::name::Name;
 
 use crate::clock;
@@ -49,20 +49,26 @@
     /// The version that must have begun every recent stream of a service, or `None`
     /// if there may have been another one.
     pub(crate) fn certain_version(&self, service: &str) -> Option<Name> {
-        let facts = OriginFacts {
+        self.origin_facts().certain_version(service)
+    }
+
+    /// The version that began a stream of a service, as far as this host can tell.
+    pub(crate) fn known_version(&self, stream: StreamKey, service: &str) -> Option<KnownVersion> {
+        let recorded = self.streams.version(stream).map(|version| KnownVersion {
+            version: version.clone(),
+            evidence: FleetStreamEvidence::Record,
+        });
+        recorded.or_else(|| self.origin_facts().only_version(service))
+    }
+
+    fn origin_facts(&self) -> OriginFacts<'_> {
+        OriginFacts {
             workers: &self.workers,
             hosts: &self.hosts,
             now_ms: clock::now_ms(),
             started_ms: self.started_ms,
             retention_ms: self.stream_retention_ms,
-        };
-        facts.certain_version(service)
-    }
-
-    /// The version that began a stream of a service, as far as this host can tell.
-    pub(crate) fn version_of_stream(&self, stream: StreamKey, service: &str) -> Option<Name> {
-        let recorded = self.streams.version(stream).cloned();
-        recorded.or_else(|| self.certain_version(service))
+        }
     }
 
     /// Forgets streams that can't be resumed any more.
