Tell cores again which version began the streams when their link comes up

Cause: an entry host told two cores once, and their processes were gone. Change: when the link to a core comes up, a host tells the cores again about the streams that it has relayed and still keeps in mind.

--- a/crates/anvillift-fleet/src/stream_versions.rs
+++ b/crates/anvillift-fleet/src/stream_versions.rs
@@ -37,7 +37,9 @@
     /// Streams in the order in which they were recorded. One that was recorded again
     /// stands here more than once.
     by_age: VecDeque<(u64, StreamKey)>,
-    /// Streams that cores have not been told about, by service.
+    /// Streams that this host has relayed, by service.
+    relayed: BTreeMap<Name, BTreeSet<StreamKey>>,
+    /// Those that cores have not been told about.
     unannounced: BTreeMap<Name, BTreeSet<StreamKey>>,
 }
 
@@ -52,11 +54,19 @@
         }
     }
 
-    /// Marks a stream of a service as one that cores have not been told about.
+    /// Marks a stream of a service as one that this host relays and that cores have not been
+    /// told about.
     pub fn mark_unannounced(&mut self, service: &Name, stream: StreamKey) {
+        self.relayed.entry(service.clone()).or_default().insert(stream);
         self.unannounced.entry(service.clone()).or_default().insert(stream);
     }
 
+    /// Marks all streams that this host has relayed as unannounced, since a core has started
+    /// anew and has forgotten them.
+    pub fn mark_all_unannounced(&mut self) {
+        self.unannounced.clone_from(&self.relayed);
+    }
+
     /// The version that began a stream, or `None` if it isn't recorded.
     pub fn version(&self, stream: StreamKey) -> Option<&Name> {
         self.records.get(&stream).map(|record| &record.version)
@@ -91,11 +101,12 @@
         {
             self.forget_oldest();
         }
-        let records = &self.records;
-        for streams in self.unannounced.values_mut() {
-            streams.retain(|stream| records.contains_key(stream));
+        for by_service in [&mut self.relayed, &mut self.unannounced] {
+            for streams in by_service.values_mut() {
+                streams.retain(|stream| self.records.contains_key(stream));
+            }
+            by_service.retain(|_, streams| !streams.is_empty());
         }
-        self.unannounced.retain(|_, streams| !streams.is_empty());
     }
 
     fn forget_oldest(&mut self) {
--- a/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
@@ -202,6 +202,23 @@
     assert!(streams.take_unannounced(|_| true).is_empty());
 }
 
+/// Guards against records that are lost with the cores: a core that has started anew is told
+/// again about the streams that may still be taken up.
+#[test]
+fn streams_are_announced_again_after_a_core_has_started_anew() {
+    let (mut streams, service) = (StreamVersions::default(), Name::from("chat"));
+    let (old, recent) = (StreamKey::of_request("old"), StreamKey::of_request("recent"));
+    for (recorded_ms, stream) in [(0, old), (8_000, recent)] {
+        streams.record(recorded_ms, stream, &Name::from("v1"));
+        streams.mark_unannounced(&service, stream);
+    }
+    assert_eq!(streams.take_unannounced(|_| true).len(), 1);
+    streams.remove_older(RETENTION_MS + 1, RETENTION_MS);
+    streams.mark_all_unannounced();
+    let due = streams.take_unannounced(|_| true);
+    assert_eq!(due.get(&Name::from("v1")), Some(&vec![recent]));
+}
+
 /// A stream goes on at no worker of another or of an unknown version.
 #[rstest]
 #[case(Some("v1"), true)]
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -2,7 +2,7 @@
 
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetControlPosition, FleetFrame, FleetHostState, FleetWorker, FleetWorkerState,
+    FleetControlPosition, FleetFrame, FleetHostRole, FleetHostState, FleetWorker, FleetWorkerState,
 };
 use anvillift_schema::name::Name;
 
@@ -15,7 +15,11 @@
         match frame {
             FleetFrame::Hello(host) => {
                 self.node.send_quarantine(&host);
+                let is_core = host.role == FleetHostRole::Core;
                 self.node.learn_host(host, true);
+                if is_core {
+                    self.announce_again();
+                }
             }
             FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
             FleetFrame::Control(control) => self.node.receive_control_state(control),
--- a/crates/anvillift-node/src/entry/stream_version.rs
+++ b/crates/anvillift-node/src/entry/stream_version.rs
@@ -174,6 +174,21 @@
         version.ok().flatten()
     }
 
+    /// Tells cores again about the streams that this host has relayed, after the link to a
+    /// core has come up: its process may be a new one.
+    pub(super) fn announce_again(&self) {
+        self.node.view.borrow_mut().streams.mark_all_unannounced();
+        self.announcement_due.notify_one();
+    }
+
+    /// Removes the lookups that have ended.
+    pub(super) fn remove_ended_lookups(&self) {
+        self.stream_lookups.borrow_mut().retain(|_, senders| {
+            senders.retain(|sender| !sender.is_closed());
+            !senders.is_empty()
+        });
+    }
+
     /// Linked cores that answer queries about streams.
     fn stream_cores(&self) -> Vec<Name> {
         let Some(hub) = self.node.hub() else { return Vec::new() };
