Bound the memory for request bodies by what they take

Cause: a body in chunks reserved 256 KiB whatever it grew to, was collected in a buffer that doubles, and was copied once more to be sent. Change: a body is counted as it grows, held once if it is large, and all bodies are bounded by the memory of the machine from the settings. What doesn't fit is refused with 503 and a time to come back, and its rest is read for up to 3 s so that its sender gets the answer.

--- a/crates/anvillift-http/src/connection.rs
+++ b/crates/anvillift-http/src/connection.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// Reads and discards bytes until the peer closes the connection.
+    pub async fn discard_until_close(&mut self) {
+        loop {
+            self.buffer.clear();
+            if let Ok(0) | Err(_) = self.fill().await {
+                return;
+            }
+        }
+    }
+
     /// Whether an idle connection can't be reused: its peer has closed it, or has
     /// sent bytes without a request.
     pub fn is_stale(&mut self) -> bool {
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use crate::entry::Entry;
 use crate::entry::pool::{AcquireError, Lease};
 use crate::entry::request::Request;
+use crate::entry::request_bytes::RequestBytes;
 use crate::entry::target::Target;
 
 /// Longest time for connecting to a worker of this region.
@@ -226,7 +227,7 @@
         request: &Request,
         target: &Target,
         resume_after: Option<&str>,
-    ) -> Vec<u8> {
+    ) -> RequestBytes {
         let names = &self.node.dialect.headers;
         let mut head = request.head.clone();
         head.headers.push(names.deadline_ms, request.remaining_ms().max(1).to_string());
@@ -255,12 +256,7 @@
         if let Some(body) = &request.body {
             head.headers.push("Content-Length", body.len().to_string());
         }
-        let body = request.body.as_deref().unwrap_or_default();
-        let mut bytes = Vec::with_capacity(1_024 + body.len());
-        head.write_to(&mut bytes);
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(body);
-        bytes
+        RequestBytes::new(&head, request.body.clone().unwrap_or_default())
     }
 }
 
@@ -270,13 +266,13 @@
 /// responses. `on_head` gets the head of each.
 async fn send_and_read(
     connection: &mut Connection,
-    bytes: &[u8],
+    bytes: &RequestBytes,
     sent_bytes: &mut usize,
     request: &Request,
     id_field: &str,
     on_head: impl Fn(&ResponseHead),
 ) -> Result<ResponseHead, HttpError> {
-    *sent_bytes += connection.try_write(bytes)?;
+    *sent_bytes += connection.try_write(bytes.after(0))?;
     let mut skipped_heads = 0;
     loop {
         while let Some(head) = connection.parse_response(MAX_HEAD_BYTES)? {
@@ -295,7 +291,7 @@
                 skip_body(connection, &head, &request.head.method).await?;
             }
         }
-        match connection.write_or_read(&bytes[*sent_bytes..]).await? {
+        match connection.write_or_read(bytes.after(*sent_bytes)).await? {
             Progress::Wrote(written_bytes) => *sent_bytes += written_bytes,
             Progress::Read => (),
             Progress::Closed => return Err(HttpError::Incomplete),
--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anvillift_http::{BodyReader, Connection, Framing, HttpError, RequestHead};
+use anvillift_http::{Connection, Framing, HttpError, RequestHead};
 use anvillift_schema::code::Code;
 use anvillift_schema::event::Event;
 use bytes::Bytes;
@@ -27,29 +27,9 @@
 /// Timeout assumed for a request without a deadline field when it waits at a host
 /// that has just started, in milliseconds.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 2_000;
-/// Longest time for receiving a body, in milliseconds.
-const BODY_TIMEOUT_MS: u64 = 10_000;
-
-/// Most memory reserved for request bodies at once, in bytes. The memory limit of
-/// the process is a few times as high.
-const MAX_RESERVED_BYTES: u64 = 80 * 1024 * 1024;
-/// Memory reserved for a chunked body, whose length is unknown, in bytes.
-const CHUNKED_RESERVATION_BYTES: u64 = 256 * 1024;
 /// `Retry-After` while the memory for bodies is exhausted, in milliseconds.
 const OVERLOADED_RETRY_MS: u64 = 500;
 
-/// Memory reserved for a request body; dropping it releases the memory.
-struct BodyReservation<'a> {
-    total_bytes: &'a Cell<u64>,
-    reserved_bytes: u64,
-}
-
-impl Drop for BodyReservation<'_> {
-    fn drop(&mut self) {
-        self.total_bytes.set(self.total_bytes.get() - self.reserved_bytes);
-    }
-}
-
 /// Kind of client at the other end of a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
 pub(crate) enum Origin {
@@ -149,41 +129,14 @@
             Ok(framing) => framing,
             Err(error) => return self.reject_unreadable(connection, &error).await,
         };
-        let requested_bytes = match framing {
-            Framing::Length(bytes) if bytes > limits.body_bytes => {
-                return self
-                    .reject(connection, Code::BodyTooLarge, "Content-Length exceeds the limit")
-                    .await;
-            }
-            Framing::Length(bytes) => bytes,
-            Framing::Chunked | Framing::UntilClose => CHUNKED_RESERVATION_BYTES,
-            Framing::None => 0,
-        };
-        let Some(_reservation) = self.reserve_body(requested_bytes) else {
-            return self
-                .reject(connection, Code::Overloaded, "memory for request bodies is exhausted")
-                .await;
-        };
-        let body = match self.read_body(connection, &head, framing, limits.body_bytes).await {
+        let read = self.read_body(connection, &head, framing, limits.body_bytes).await;
+        let (body, _reservation) = match read {
             Ok(body) => body,
             Err(action) => return action,
         };
         self.serve_request(connection, head, body, origin, arrived_ms).await
     }
 
-    /// Reserves memory for a body, or returns `None` if too much is reserved.
-    fn reserve_body(&self, requested_bytes: u64) -> Option<BodyReservation<'_>> {
-        let reserved_bytes = self.reserved_body_bytes.get() + requested_bytes;
-        if reserved_bytes > MAX_RESERVED_BYTES {
-            return None;
-        }
-        self.reserved_body_bytes.set(reserved_bytes);
-        Some(BodyReservation {
-            total_bytes: &self.reserved_body_bytes,
-            reserved_bytes: requested_bytes,
-        })
-    }
-
     async fn serve_request(
         &self,
         connection: &mut Connection,
@@ -252,36 +205,7 @@
         stated.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS)
     }
 
-    /// Reads the body of a request, or returns `None` if it has none. If reading
-    /// fails, the request is answered here unless the connection failed, and the
-    /// error is what to do with the connection.
-    async fn read_body(
-        &self,
-        connection: &mut Connection,
-        head: &RequestHead,
-        framing: Framing,
-        limit_bytes: u64,
-    ) -> Result<Option<Bytes>, ConnectionAction> {
-        if framing == Framing::None {
-            return Ok(None);
-        }
-        if head.headers.has_token("expect", "100-continue")
-            && connection.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.is_err()
-        {
-            return Err(ConnectionAction::Close);
-        }
-        let mut reader = BodyReader::new(framing);
-        let read = connection.read_full_body(&mut reader, limit_bytes);
-        match time::timeout(Duration::from_millis(BODY_TIMEOUT_MS), read).await {
-            Ok(Ok(body)) => Ok(Some(body)),
-            Ok(Err(error)) => Err(self.reject_unreadable(connection, &error).await),
-            Err(_) => {
-                Err(self.reject(connection, Code::SlowSender, "body not received in time").await)
-            }
-        }
-    }
-
-    async fn reject_unreadable(
+    pub(super) async fn reject_unreadable(
         &self,
         connection: &Connection,
         error: &HttpError,
@@ -298,7 +222,12 @@
     }
 
     /// Answers a request that can't be read, and closes the connection.
-    async fn reject(&self, connection: &Connection, code: Code, detail: &str) -> ConnectionAction {
+    pub(super) async fn reject(
+        &self,
+        connection: &Connection,
+        code: Code,
+        detail: &str,
+    ) -> ConnectionAction {
         log::info!(
             event = Event::RequestUnreadable.number(), code = code.number();
             "request rejected while reading it: {detail}"
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod answer_outcome;
 mod attempt;
 mod attempts;
+mod body_memory;
 mod calls;
 mod carried_requests;
 mod counted_quota;
@@ -30,9 +31,11 @@
 mod overload;
 mod pool;
 mod quota;
+mod read_body;
 mod region_loads;
 mod relay;
 mod request;
+mod request_bytes;
 mod request_failure;
 mod response_writer;
 mod resume;
@@ -64,6 +67,7 @@
 use tokio::{task, time};
 
 use crate::dialect::{CallError, ControlCall, Dialect};
+use crate::entry::body_memory::BodyMemory;
 use crate::entry::dispatch_state::DispatchState;
 use crate::entry::pool::Pool;
 use crate::entry::quota::Quotas;
@@ -129,8 +133,8 @@
     team_sharing: TeamSharing,
     /// Running lookups of the version that began a stream.
     stream_lookups: RefCell<BTreeMap<StreamKey, Vec<AnswerSender>>>,
-    /// Memory reserved for request bodies, in bytes.
-    pub(crate) reserved_body_bytes: Cell<u64>,
+    /// Memory for request bodies.
+    body_memory: BodyMemory,
     /// Time at which the planned stop started, or `None` before.
     pub(crate) leaving_since_ms: Cell<Option<u64>>,
 }
@@ -154,6 +158,7 @@
         let seed = seed::of_host(&own_host.name, own_host.boot);
         let cores = node.settings.seed_names().len();
         let dispatch = RefCell::new(DispatchState::new(retry_share(&node.settings), seed));
+        let body_memory = BodyMemory::of_machine(node.settings.memory_bytes);
         let entry = Rc::new(Self {
             node,
             dispatch,
@@ -173,7 +178,7 @@
             call_rejection_lines: calls::rejection_lines(),
             team_sharing: TeamSharing::new(),
             stream_lookups: RefCell::default(),
-            reserved_body_bytes: Cell::new(0),
+            body_memory,
             leaving_since_ms: Cell::new(None),
         });
         entry.listen()?;
--- a/crates/anvillift-node/src/settings.rs
+++ b/crates/anvillift-node/src/settings.rs
@@ -73,6 +73,8 @@
     /// Processor time that the host may use, in thousandths of a core. An entry host
     /// gets callers in proportion to it.
     pub cpu_millicores: Option<u64>,
+    /// Memory of the machine, in bytes; `None` if it isn't known.
+    pub memory_bytes: Option<u64>,
     /// Length of the window over which the bound on the use of a quota is checked, in
     /// milliseconds. This and the next two fields are exported as metrics, for comparison with
     /// what teams use; the decisions aim at the quota itself.
@@ -108,6 +110,7 @@
             cold_factor: 1.0,
             cold_extra: 0.0,
             cpu_millicores: None,
+            memory_bytes: None,
             quota_window_ms: 8_000,
             quota_overage: 0.1,
             quota_slack: 190_000,
