End a stalled stream at its first worker before two work on it

Cause: while the head of the second answer was awaited, for as long as the request had, the connection to the first worker stayed open and was not read. Change: 0.3 s after the request is sent on, it is cancelled at the first worker; within that time a refusal leaves the stream where it is. The wait for the second worker ends before the caller leaves for the pause.

--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -97,7 +97,7 @@
                 () = &mut response_timeout, if is_timeout_armed => {
                     is_timeout_armed = false;
                     if can_switch() {
-                        let reason = "response timeout; another worker is available".to_owned();
+                        let reason = "no response in time".to_owned();
                         return AttemptOutcome::NoResponse(AttemptEnd::Broken, reason);
                     }
                 }
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -20,6 +20,7 @@
 use crate::entry::front::ConnectionAction;
 use crate::entry::request::Request;
 use crate::entry::response_writer::ResponseWriter;
+use crate::entry::resume::HandOver;
 use crate::entry::target::Target;
 use crate::entry::upstream_response::UpstreamResponse;
 use crate::entry::{Entry, answer_log};
@@ -85,20 +86,14 @@
                     return RelayEnd::Answered(ConnectionAction::Close);
                 }
                 RelayStep::Stalled => {
-                    writer.can_switch = false;
-                    let version = upstream.version.clone();
-                    let resumed =
-                        self.resume(caller, request, &mut attempts, &mut writer, version).await;
-                    if let Some(next) = resumed {
-                        self.record_unanswered(request, &upstream.target, upstream.sent_ms);
-                        // Dropping the connection cancels the request at the previous worker.
-                        self.abandon_upstream(
-                            request,
-                            upstream,
-                            "stream stalled; resumed at another worker",
-                        );
-                        upstream = next;
-                    }
+                    let handed_over =
+                        self.hand_over(caller, request, &mut attempts, &mut writer, upstream).await;
+                    upstream = match handed_over {
+                        HandOver::Continues(next) => *next,
+                        HandOver::Ended(ended) => {
+                            return self.end_truncated(caller, request, &ended, &writer);
+                        }
+                    };
                 }
                 RelayStep::Truncated(reason) => {
                     let ended = EndedResponse::of(&upstream);
@@ -106,23 +101,16 @@
                     self.record_broken_answer(request, &upstream.target);
                     self.abandon_upstream(request, upstream, &reason);
                     let resumed =
-                        self.resume(caller, request, &mut attempts, &mut writer, version).await;
-                    let Some(next) = resumed else {
-                        answer_log::record_answer(
-                            request,
-                            &ended,
-                            &writer,
-                            AnswerOutcome::Truncated,
-                        );
-                        if !writer.has_started() {
+                        self.resume(caller, request, &mut attempts, &mut writer, version, 0).await;
+                    upstream = match resumed {
+                        Some(next) => next,
+                        None if !writer.has_started() => {
+                            let outcome = AnswerOutcome::Truncated;
+                            answer_log::record_answer(request, &ended, &writer, outcome);
                             return RelayEnd::NothingSent(attempts, AttemptEnd::Broken);
                         }
-                        // The caller may take the stream up at another host right away.
-                        self.announce_streams();
-                        caller.reset_on_drop();
-                        return RelayEnd::Answered(ConnectionAction::Close);
+                        None => return self.end_truncated(caller, request, &ended, &writer),
                     };
-                    upstream = next;
                 }
                 RelayStep::Complete => {
                     let success = upstream.head.status < 500;
@@ -158,8 +146,29 @@
         }
     }
 
-    /// Logs a stalled or truncated response and records its request as failed.
-    fn abandon_upstream(&self, request: &Request, upstream: UpstreamResponse, reason: &str) {
+    /// Ends an answer of which a part was passed on.
+    fn end_truncated(
+        &self,
+        caller: &Connection,
+        request: &Request,
+        ended: &EndedResponse,
+        writer: &ResponseWriter,
+    ) -> RelayEnd {
+        answer_log::record_answer(request, ended, writer, AnswerOutcome::Truncated);
+        // The caller may take the stream up at another host right away.
+        self.announce_streams();
+        caller.reset_on_drop();
+        RelayEnd::Answered(ConnectionAction::Close)
+    }
+
+    /// Logs a stalled or truncated response and records its request as failed. Its drop closes
+    /// the connection, which cancels the request at the worker.
+    pub(super) fn abandon_upstream(
+        &self,
+        request: &Request,
+        upstream: UpstreamResponse,
+        reason: &str,
+    ) {
         log_truncated(request, &upstream.target, reason);
         self.dispatch.borrow_mut().request_ended(clock::now_ms(), upstream.in_flight, Some(false));
     }
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -1,13 +1,21 @@
 //! Resumes a stalled or truncated stream at another worker.
+//!
+//! A stalled stream has a worker that may still work on it. Both workers may have the request for
+//! [`HAND_OVER_TIME`] only. Within it the other one may refuse, and the stream stays where it is;
+//! after it the request is cancelled at the first one, whatever becomes of it at the other.
 
+use std::pin::pin;
 use std::time::Duration;
 
-use anvillift_fleet::VersionConstraint;
 use anvillift_fleet::retry_decision::AttemptEnd;
+use anvillift_fleet::{Route, VersionConstraint};
 use anvillift_http::Connection;
 use anvillift_schema::name::Name;
+use tokio::time;
 
+use crate::clock;
 use crate::entry::Entry;
+use crate::entry::answer_log::EndedResponse;
 use crate::entry::attempt::AttemptOutcome;
 use crate::entry::attempts::{Attempts, StartedAttempt};
 use crate::entry::request::Request;
@@ -18,10 +26,27 @@
 /// milliseconds. It is longer than 1.5 s, since a worker or host may be silent for that long and
 /// must then go on with the stream itself.
 const MIN_STALL_TIMEOUT_MS: u64 = 1_800;
+/// Time after which the request is cancelled at the worker of a stalled stream. With the way of
+/// the cancellation it is less than the 0.4 s for which two workers may work on a request.
+const HAND_OVER_TIME: Duration = Duration::from_millis(300);
+/// Shortest pause in a stream after which its caller leaves, in milliseconds.
+const MIN_CALLER_PATIENCE_MS: u64 = 2_000;
+/// Multiples of the route's target latency and of its target gap between events, of which the
+/// longest is the pause after which a caller leaves.
+const CALLER_PATIENCE_LATENCIES: u64 = 4;
+const CALLER_PATIENCE_GAPS: u64 = 8;
 /// Multiple of the route's target gap between events after which a resumable
 /// stream counts as stalled.
 const STALL_TIMEOUT_GAPS: u64 = 3;
 
+/// How a stalled stream continues.
+pub(super) enum HandOver {
+    /// At the other worker, or where it was if that one refused.
+    Continues(Box<UpstreamResponse>),
+    /// It was cancelled at the first worker, and the other one did not answer.
+    Ended(EndedResponse),
+}
+
 impl Entry {
     /// Pause after which the stream counts as stalled, or `None` if it can't be
     /// resumed at another worker.
@@ -36,13 +61,53 @@
         if state.run_count >= state.max_runs || !self.can_try_another(request, attempts) {
             return None;
         }
-        let stall_ms = request.route.target_gap_ms * STALL_TIMEOUT_GAPS;
-        Some(Duration::from_millis(stall_ms.max(MIN_STALL_TIMEOUT_MS)))
+        Some(Duration::from_millis(stall_ms(&request.route)))
+    }
+
+    /// Continues a stalled stream at another worker, if one takes it.
+    pub(super) async fn hand_over(
+        &self,
+        caller: &mut Connection,
+        request: &Request,
+        attempts: &mut Attempts,
+        writer: &mut ResponseWriter,
+        stalled: UpstreamResponse,
+    ) -> HandOver {
+        writer.can_switch = false;
+        let (ended, version) = (EndedResponse::of(&stalled), stalled.version.clone());
+        let mut stalled = Some(stalled);
+        let resumed = {
+            let paused_ms = stall_ms(&request.route);
+            let resuming = self.resume(caller, request, attempts, writer, version, paused_ms);
+            let mut resuming = pin!(resuming);
+            tokio::select! {
+                resumed = &mut resuming => resumed,
+                () = time::sleep(HAND_OVER_TIME) => {
+                    self.cancel_stalled(request, stalled.take());
+                    resuming.await
+                }
+            }
+        };
+        match (resumed, stalled) {
+            (Some(next), stalled) => {
+                self.cancel_stalled(request, stalled);
+                HandOver::Continues(Box::new(next))
+            }
+            (None, Some(stalled)) => HandOver::Continues(Box::new(stalled)),
+            (None, None) => HandOver::Ended(ended),
+        }
+    }
+
+    fn cancel_stalled(&self, request: &Request, stalled: Option<UpstreamResponse>) {
+        let Some(stalled) = stalled else { return };
+        self.record_unanswered(request, &stalled.target, stalled.sent_ms);
+        self.abandon_upstream(request, stalled, "stream stalled; sent to another worker");
     }
 
     /// Makes attempts until another worker resumes the stream after the last
     /// complete event. Once an event was sent, only workers of `version`, which sent it,
-    /// may do so. Returns `None` if no further attempt is allowed, the version is
+    /// may do so, and a worker has to answer before the caller leaves for the pause, of which
+    /// `paused_ms` have passed. Returns `None` if no further attempt is allowed, the version is
     /// unknown or the caller left.
     pub(super) async fn resume(
         &self,
@@ -51,11 +116,15 @@
         attempts: &mut Attempts,
         writer: &mut ResponseWriter,
         version: Option<Name>,
+        paused_ms: u64,
     ) -> Option<UpstreamResponse> {
         let events = writer.events.as_mut()?;
         let last_id = events.last_id().map(str::to_owned);
+        let mut answer_by_ms = u64::MAX;
         if writer.first_write_ms.is_some() {
             attempts.version_constraint = VersionConstraint::Only(version?);
+            let left_ms = caller_patience_ms(&request.route).saturating_sub(paused_ms);
+            answer_by_ms = clock::now_ms() + left_ms;
         }
         let mut end = AttemptEnd::Broken;
         loop {
@@ -64,9 +133,11 @@
             }
             let target = self.next_target(request, attempts)?;
             let mut started = self.start_attempt(request, attempts, target);
-            let (resume_after, remaining_ms) = (last_id.as_deref(), request.remaining_ms());
+            let timeout_ms =
+                answer_by_ms.saturating_sub(clock::now_ms()).min(request.remaining_ms());
+            let target = &started.target;
             let outcome = self
-                .attempt(caller, request, &started.target, resume_after, remaining_ms, || false)
+                .attempt(caller, request, target, last_id.as_deref(), timeout_ms, || true)
                 .await;
             match outcome {
                 AttemptOutcome::Answered(response) if response.head.status == 200 => {
@@ -120,3 +191,15 @@
         AttemptEnd::Broken
     }
 }
+
+/// Pause after which a stream of a route counts as stalled, in milliseconds.
+fn stall_ms(route: &Route) -> u64 {
+    (route.target_gap_ms * STALL_TIMEOUT_GAPS).max(MIN_STALL_TIMEOUT_MS)
+}
+
+/// Pause after which the caller of a stream leaves, in milliseconds.
+fn caller_patience_ms(route: &Route) -> u64 {
+    let by_latency = route.target_latency_ms * CALLER_PATIENCE_LATENCIES;
+    let by_gap = route.target_gap_ms * CALLER_PATIENCE_GAPS;
+    MIN_CALLER_PATIENCE_MS.max(by_latency).max(by_gap)
+}
