--- a/crates/anvillift-consensus/src/log.rs
+++ b/crates/anvillift-consensus/src/log.rs
@@ -124,6 +124,26 @@
         slice
     }
 
+    /// Size of the entries after an index, in bytes.
+    pub(crate) fn bytes_after(&self, index: u64) -> usize {
+        let skipped = index.saturating_sub(self.offset_index) as usize;
+        self.entries.iter().skip(skipped).map(entry_bytes).sum()
+    }
+
+    /// The lowest index after which the entries up to `upto` take at most `max_bytes`.
+    pub(crate) fn first_index_within(&self, upto: u64, max_bytes: usize) -> u64 {
+        let mut index = upto;
+        let mut bytes = 0;
+        while let Some(entry) = self.entry(index) {
+            bytes += entry_bytes(entry);
+            if bytes > max_bytes {
+                break;
+            }
+            index -= 1;
+        }
+        index
+    }
+
     /// Whether a log with the given last term and index is at least as up to date
     /// as this one.
     pub(crate) fn is_covered_by(&self, last_term: u64, last_index: u64) -> bool {
--- a/crates/anvillift-consensus/src/replica.rs
+++ b/crates/anvillift-consensus/src/replica.rs
@@ -244,15 +244,22 @@
         self.take_effects()
     }
 
+    /// Size of the entries in memory after an index, in bytes.
+    pub fn bytes_after(&self, index: u64) -> usize {
+        self.log.bytes_after(index)
+    }
+
     /// Records a snapshot of the state machine at an applied index, and drops the
-    /// entries that it covers except the newest `trailing_entries`.
+    /// entries that it covers except the newest `trailing_entries`, of which at most
+    /// `trailing_bytes` are kept.
     pub fn compact(&mut self, snapshot: Snapshot) {
         let index = snapshot.meta.index;
         if index > self.applied_index || self.snapshot_index() >= index {
             return;
         }
         self.snapshot = Some(snapshot);
-        let keep_from = index.saturating_sub(self.settings.trailing_entries);
+        let within_bytes = self.log.first_index_within(index, self.settings.trailing_bytes);
+        let keep_from = index.saturating_sub(self.settings.trailing_entries).max(within_bytes);
         if keep_from > self.log.offset_index() {
             self.log.drop_upto(keep_from);
         }
--- a/crates/anvillift-consensus/src/settings.rs
+++ b/crates/anvillift-consensus/src/settings.rs
@@ -30,6 +30,9 @@
     /// Number of entries that are kept although a snapshot covers them, so that a
     /// follower that lags a little needs no snapshot.
     pub trailing_entries: u64,
+    /// Largest size of these entries, in bytes. A follower that is further behind gets a
+    /// snapshot.
+    pub trailing_bytes: usize,
     /// Maximum number of entries in one message.
     pub max_message_entries: usize,
     /// Maximum size of the entries in one message, in bytes. A single larger
@@ -57,6 +60,7 @@
             lease_reads: true,
             clock_drift_milli: 50,
             trailing_entries: 1_000,
+            trailing_bytes: 4 * 1024 * 1024,
             max_message_entries: 1_024,
             max_message_bytes: 32 * 1024,
             max_in_flight_entries: 1_024,
--- a/crates/anvillift-consensus/tests/testsuite/leadership.rs
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -171,6 +171,38 @@
     assert!(cluster.nodes[&lagging].durable.snapshot.as_ref().is_some_and(|s| s.meta.index > 0));
 }
 
+/// Guards against a log that fills the memory: its entries may be large, so that their number
+/// bounds nothing. A follower that was cut off for longer than is kept gets a snapshot.
+#[test]
+fn entries_kept_after_a_snapshot_are_bounded_by_their_size() {
+    const TRAILING_BYTES: usize = 400;
+    let mut cluster = Cluster::new(3, SEED);
+    cluster.settings.trailing_entries = 1_000;
+    cluster.settings.trailing_bytes = TRAILING_BYTES;
+    let names: Vec<Name> = cluster.nodes.keys().cloned().collect();
+    for name in &names {
+        cluster.stop(name);
+        cluster.start(name);
+    }
+    cluster.run(100);
+    let leader = cluster.leader().expect("a leader");
+    let lagging = follower(&cluster, &leader);
+    isolate(&mut cluster, &lagging);
+    for _ in 0..50 {
+        cluster.propose(&leader);
+        cluster.run(3);
+    }
+    assert!(replica(&cluster, &leader).bytes_after(0) > TRAILING_BYTES);
+    cluster.compact(&leader);
+    let kept_bytes = replica(&cluster, &leader).bytes_after(0);
+    assert!(kept_bytes > 0 && kept_bytes <= TRAILING_BYTES, "{kept_bytes} bytes");
+    cluster.blocked_links.clear();
+    cluster.run(50);
+    let commit_index = replica(&cluster, &leader).status().commit_index;
+    assert_eq!(replica(&cluster, &lagging).status().commit_index, commit_index);
+    assert!(cluster.nodes[&lagging].durable.snapshot.as_ref().is_some_and(|s| s.meta.index > 0));
+}
+
 #[test]
 fn a_replica_with_a_damaged_log_does_not_vote_before_its_refetch_is_complete() {
     let (mut cluster, leader) = start_with_leader(3, SEED);
--- a/crates/anvillift-gateway/src/control/group.rs
+++ b/crates/anvillift-gateway/src/control/group.rs
@@ -53,8 +53,8 @@
             ..GroupTiming::default()
         },
         snapshot_entries: storage.snapshot_entries,
-        replace_restarted_hosts: false,
         seed: rand::random(),
+        ..GroupDriverSettings::default()
     };
     let handle = GroupDriver::start(settings, machine(gateway), sender(gateway));
     gateway.control.set_handle(handle.clone());
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -45,6 +45,7 @@
     status: watch::Sender<GroupStatus>,
     tick_due: Instant,
     snapshot_entries: u64,
+    snapshot_bytes: usize,
     snapshot_index: u64,
     failed: bool,
     stopping: Option<oneshot::Sender<()>>,
@@ -77,6 +78,7 @@
             status,
             tick_due: Instant::now(),
             snapshot_entries: settings.snapshot_entries,
+            snapshot_bytes: settings.snapshot_bytes,
             snapshot_index,
             failed: false,
             stopping: None,
@@ -205,7 +207,10 @@
 
     fn snapshot_if_due(&mut self) -> Result<(), StorageError> {
         let index = self.replica.applied_index();
-        if self.failed || index < self.snapshot_index + self.snapshot_entries {
+        let has_many_entries = index >= self.snapshot_index + self.snapshot_entries;
+        let has_many_bytes = index > self.snapshot_index
+            && self.replica.bytes_after(self.snapshot_index) >= self.snapshot_bytes;
+        if self.failed || !(has_many_entries || has_many_bytes) {
             return Ok(());
         }
         let Some(term) = self.replica.term_at(index) else { return Ok(()) };
--- a/crates/anvillift-replication/src/settings.rs
+++ b/crates/anvillift-replication/src/settings.rs
@@ -62,6 +62,8 @@
     pub timing: GroupTiming,
     /// Number of applied entries after which the next snapshot is taken.
     pub snapshot_entries: u64,
+    /// Size of the entries since the last snapshot after which the next one is taken, in bytes.
+    pub snapshot_bytes: usize,
     /// Whether a host that restarts with another storage id is replaced
     /// automatically, without an operator. Meant for groups that are kept in
     /// memory only.
@@ -79,6 +81,7 @@
             storage: None,
             timing: GroupTiming::default(),
             snapshot_entries: 4_096,
+            snapshot_bytes: 8 * 1024 * 1024,
             replace_restarted_hosts: false,
             seed: 0,
         }
--- a/crates/anvillift-replication/tests/testsuite/support.rs
+++ b/crates/anvillift-replication/tests/testsuite/support.rs
@@ -87,6 +87,7 @@
                 ..GroupTiming::default()
             },
             snapshot_entries: 50,
+            snapshot_bytes: usize::MAX,
             seed: self.starts,
         };
         let handle = GroupDriver::start(settings, machine(&applied), self.sender(name));
