Reserve memory for a body by its size

Change: an announced length is reserved as it is; without one the memory grows by a quarter, between 4 and 256 KiB.

--- a/crates/anvillift-node/src/entry/front.rs
+++ b/crates/anvillift-node/src/entry/front.rs
@@ -130,11 +130,12 @@
             Err(error) => return self.reject_unreadable(connection, &error).await,
         };
         let read = self.read_body(connection, &head, framing, limits.body_bytes).await;
-        let (body, _reservation) = match read {
+        let body = match read {
             Ok(body) => body,
             Err(action) => return action,
         };
-        self.serve_request(connection, head, body, origin, arrived_ms).await
+        let _reservation = body.reservation;
+        self.serve_request(connection, head, body.bytes, origin, arrived_ms).await
     }
 
     async fn serve_request(
--- a/crates/anvillift-node/src/entry/read_body.rs
+++ b/crates/anvillift-node/src/entry/read_body.rs
@@ -13,8 +13,11 @@
 
 /// Longest time for receiving a body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
-/// Steps in which memory is reserved for a body whose length is unknown, in bytes.
-const GROWTH_BYTES: u64 = 256 * 1024;
+/// Part of its length by which the memory of a body grows if that isn't known before, and the
+/// least and the largest step, in bytes.
+const GROWTH_PART: usize = 4;
+const MIN_GROWTH_BYTES: usize = 4 * 1024;
+const MAX_GROWTH_BYTES: usize = 256 * 1024;
 /// Longest time for which the rest of a refused body is read and discarded, so that its sender
 /// gets the refusal.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -25,8 +28,14 @@
     OutOfMemory,
 }
 
-/// A body with the memory that is reserved for it; `None` if the request has none.
-pub(super) type ReservedBody<'a> = (Option<Bytes>, Option<BodyReservation<'a>>);
+/// The body of a request.
+#[derive(Default)]
+pub(super) struct ReceivedBody<'a> {
+    /// Its bytes; `None` if the request has no body.
+    pub(super) bytes: Option<Bytes>,
+    /// The memory reserved for it, to be kept until the request has ended.
+    pub(super) reservation: Option<BodyReservation<'a>>,
+}
 
 impl Entry {
     /// Reads the body of a request. If that fails, the request is answered here unless the
@@ -37,9 +46,9 @@
         head: &RequestHead,
         framing: Framing,
         limit_bytes: u64,
-    ) -> Result<ReservedBody<'_>, ConnectionAction> {
-        let first_bytes = match framing {
-            Framing::None => return Ok((None, None)),
+    ) -> Result<ReceivedBody<'_>, ConnectionAction> {
+        let announced_bytes = match framing {
+            Framing::None => return Ok(ReceivedBody::default()),
             Framing::Length(bytes) if bytes > limit_bytes => {
                 let detail = "Content-Length exceeds the limit";
                 return Err(self.reject(connection, Code::BodyTooLarge, detail).await);
@@ -47,7 +56,7 @@
             Framing::Length(bytes) => bytes,
             Framing::Chunked | Framing::UntilClose => 0,
         };
-        let Some(mut reservation) = self.body_memory.reserve(first_bytes) else {
+        let Some(mut reservation) = self.body_memory.reserve(announced_bytes) else {
             return Err(self.reject_for_memory(connection).await);
         };
         if head.headers.has_token("expect", "100-continue")
@@ -56,9 +65,12 @@
             return Err(ConnectionAction::Close);
         }
         let mut reader = BodyReader::new(framing);
-        let read = collect(connection, &mut reader, limit_bytes, &mut reservation);
+        let collected = Vec::with_capacity(announced_bytes as usize);
+        let read = collect(connection, &mut reader, collected, limit_bytes, &mut reservation);
         match time::timeout(Duration::from_millis(BODY_TIMEOUT_MS), read).await {
-            Ok(Ok(body)) => Ok((Some(body), Some(reservation))),
+            Ok(Ok(bytes)) => {
+                Ok(ReceivedBody { bytes: Some(bytes), reservation: Some(reservation) })
+            }
             Ok(Err(BodyError::Http(error))) => {
                 Err(self.reject_unreadable(connection, &error).await)
             }
@@ -85,22 +97,23 @@
 async fn collect(
     connection: &mut Connection,
     reader: &mut BodyReader,
+    mut collected: Vec<u8>,
     limit_bytes: u64,
     reservation: &mut BodyReservation<'_>,
 ) -> Result<Bytes, BodyError> {
-    let mut collected: Vec<u8> = Vec::new();
     while let Some(data) = connection.read_body(reader).await.map_err(BodyError::Http)? {
         let length = collected.len() + data.len();
         if length as u64 > limit_bytes {
             return Err(BodyError::Http(HttpError::BodyTooLarge { limit_bytes }));
         }
         if length > collected.capacity() {
-            let capacity = (length as u64).next_multiple_of(GROWTH_BYTES).min(limit_bytes);
-            if !reservation.grow_to(capacity) {
+            let step = (length / GROWTH_PART).clamp(MIN_GROWTH_BYTES, MAX_GROWTH_BYTES);
+            let capacity = length + step;
+            if !reservation.grow_to(capacity as u64) {
                 return Err(BodyError::OutOfMemory);
             }
             // Exact, since the usual doubling would take memory that isn't reserved.
-            collected.reserve_exact(capacity as usize - collected.len());
+            collected.reserve_exact(capacity - collected.len());
         }
         collected.extend_from_slice(&data);
     }
