--- a/crates/anvillift-fleet/src/stream_lookup.rs
+++ b/crates/anvillift-fleet/src/stream_lookup.rs
@@ -6,6 +6,8 @@
 //! or was cut off, or keep versions in mind for too short a time since a configuration
 //! lowered the timeouts.
 
+use std::collections::BTreeSet;
+
 use anvillift_schema::fleet::FleetStreamEvidence;
 use anvillift_schema::name::Name;
 
@@ -28,20 +30,26 @@
     /// Whether a core of each region was asked.
     asks_all_regions: bool,
     /// Cores that have yet to answer.
-    missing: usize,
+    missing: BTreeSet<Name>,
     answers: Vec<Option<KnownVersion>>,
 }
 
 impl StreamLookup {
-    /// Begins a lookup at a number of cores.
-    pub fn new(own: Option<KnownVersion>, asks_all_regions: bool, cores: usize) -> Self {
-        Self { own, asks_all_regions, missing: cores, answers: Vec::new() }
+    /// Begins a lookup at some cores.
+    pub fn new(
+        own: Option<KnownVersion>,
+        asks_all_regions: bool,
+        cores: impl IntoIterator<Item = Name>,
+    ) -> Self {
+        Self { own, asks_all_regions, missing: cores.into_iter().collect(), answers: Vec::new() }
     }
 
-    /// Adds the answer of a core, `None` if it can't tell.
-    pub fn add(&mut self, answer: Option<KnownVersion>) {
-        self.missing = self.missing.saturating_sub(1);
-        self.answers.push(answer);
+    /// Adds the answer of a core, `None` if it can't tell. A second one of the same core, to
+    /// another lookup of the stream, is ignored.
+    pub fn add(&mut self, core: &Name, answer: Option<KnownVersion>) {
+        if self.missing.remove(core) {
+            self.answers.push(answer);
+        }
     }
 
     /// Whether the answers so far decide.
@@ -49,7 +57,7 @@
         let is_record = |known: &&KnownVersion| known.evidence == FleetStreamEvidence::Record;
         if let Some(known) = self.answers.iter().flatten().find(is_record) {
             LookupState::Decided(Some(known.version.clone()))
-        } else if self.missing > 0 {
+        } else if !self.missing.is_empty() {
             LookupState::Pending
         } else {
             LookupState::Decided(self.agreed_version())
--- a/crates/anvillift-fleet/tests/testsuite/stream_lookup.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_lookup.rs
@@ -22,9 +22,10 @@
 }
 
 fn state(own: Known, asks_all_regions: bool, cores: usize, answers: &[Known]) -> LookupState {
-    let mut lookup = StreamLookup::new(known(own), asks_all_regions, cores);
-    for answer in answers {
-        lookup.add(known(*answer));
+    let name = |number: usize| Name::from(format!("core-{number}"));
+    let mut lookup = StreamLookup::new(known(own), asks_all_regions, (0..cores).map(name));
+    for (number, answer) in answers.iter().enumerate() {
+        lookup.add(&name(number), known(*answer));
     }
     lookup.state()
 }
@@ -75,3 +76,16 @@
     assert_eq!(state(SURE_OF_V1, false, 1, &[SURE_OF_V1]), LookupState::Decided(None));
     assert_eq!(state(SURE_OF_V1, true, 0, &[]), LookupState::Decided(None));
 }
+
+/// Two callers may take up the same stream at once: the answers to both lookups reach each. One
+/// core that answers twice must not stand for another one.
+#[test]
+fn a_second_answer_of_a_core_does_not_count() {
+    let cores = ["core-1", "core-2"].map(Name::from);
+    let mut lookup = StreamLookup::new(known(SURE_OF_V1), true, cores.clone());
+    lookup.add(&cores[0], known(SURE_OF_V1));
+    lookup.add(&cores[0], known(SURE_OF_V1));
+    assert_eq!(lookup.state(), LookupState::Pending);
+    lookup.add(&cores[1], None);
+    assert_eq!(lookup.state(), LookupState::Decided(None));
+}
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -44,7 +44,7 @@
                 }
                 view.loads.record_regions(clock::now_ms(), loads);
             }
-            FleetFrame::StreamKnown(answer) => self.on_stream_answer(answer),
+            FleetFrame::StreamKnown(answer) => self.on_stream_answer(from, answer),
             FleetFrame::PartsWanted(wanted) => self.answer_parts_wanted(from, &wanted),
             FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
             FleetFrame::QuotaGranted(granted) => self.on_quota_granted(from, &granted),
--- a/crates/anvillift-node/src/entry/stream_version.rs
+++ b/crates/anvillift-node/src/entry/stream_version.rs
@@ -38,10 +38,18 @@
 /// Most streams in one frame.
 const MAX_STREAMS_PER_FRAME: usize = 2_000;
 
-/// Answers of cores to one lookup; `None` is an answer without a version.
-type Answers = mpsc::UnboundedReceiver<Option<KnownVersion>>;
+/// The answer of a core to a lookup.
+#[derive(Clone, Debug)]
+pub(super) struct CoreAnswer {
+    core: Name,
+    /// What the core knows; `None` if it can't tell.
+    known: Option<KnownVersion>,
+}
+
+/// Answers to one lookup, and those to other lookups of the same stream.
+type Answers = mpsc::UnboundedReceiver<CoreAnswer>;
 /// Sending end of the answers to one lookup.
-pub(super) type AnswerSender = mpsc::UnboundedSender<Option<KnownVersion>>;
+pub(super) type AnswerSender = mpsc::UnboundedSender<CoreAnswer>;
 
 /// Result of a lookup.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -145,7 +153,7 @@
     }
 
     /// Passes the answer of a core on to the lookups of its stream.
-    pub(super) fn on_stream_answer(&self, answer: FleetStreamAnswer) {
+    pub(super) fn on_stream_answer(&self, from: &Name, answer: FleetStreamAnswer) {
         let lookups = self.stream_lookups.borrow();
         let known = answer.version.map(|version| KnownVersion {
             version,
@@ -153,7 +161,7 @@
         });
         for lookup in lookups.get(&StreamKey(answer.stream)).into_iter().flatten() {
             // A lookup that has ended needs no answer.
-            lookup.send(known.clone()).ok();
+            lookup.send(CoreAnswer { core: from.clone(), known: known.clone() }).ok();
         }
     }
 
@@ -166,7 +174,7 @@
             let view = self.node.view.borrow();
             let own = view.known_version(stream, service);
             let asks_all_regions = view.hosts.are_all_regions_reachable(clock::now_ms());
-            StreamLookup::new(own, asks_all_regions, cores.len())
+            StreamLookup::new(own, asks_all_regions, cores.iter().cloned())
         };
         let query = FleetStreamQuery { stream: stream.0, service: service.clone() };
         cores.iter().for_each(|core| hub.send(core, FleetFrame::StreamWanted(query.clone())));
@@ -225,7 +233,8 @@
         if let LookupState::Decided(version) = lookup.state() {
             return version;
         }
-        lookup.add(answers.recv().await?);
+        let answer = answers.recv().await?;
+        lookup.add(&answer.core, answer.known);
     }
 }
 
