--- a/crates/anvillift-fleet/src/stream_lookup.rs
+++ b/crates/anvillift-fleet/src/stream_lookup.rs
@@ -13,7 +13,7 @@
 
 use crate::stream_origin::KnownVersion;
 
-/// State of a lookup.
+/// Whether a lookup needs more answers, or what came out of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LookupState {
     /// More answers are needed.
--- a/crates/anvillift-fleet/src/stream_origin.rs
+++ b/crates/anvillift-fleet/src/stream_origin.rs
@@ -33,7 +33,7 @@
 /// The version that began a stream, as far as one host can tell.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownVersion {
-    /// The version.
+    /// Version of the software of the service's workers.
     pub version: Name,
     /// What the host bases it on.
     pub evidence: FleetStreamEvidence,
