--- a/crates/anvillift-gateway/src/commands/groups.rs
+++ b/crates/anvillift-gateway/src/commands/groups.rs
@@ -1,12 +1,13 @@
 //! Replicas of ledger groups on this host.
 
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 
 use anvillift_ledger::machine::{Machine, MachineSettings};
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupTiming, OpenedGroup, SendFn,
+    StorageOpener,
 };
 use anvillift_schema::consensus::Voter;
 use anvillift_schema::event::Event;
@@ -26,8 +27,6 @@
 #[derive(Debug)]
 pub(super) struct Groups {
     handles: BTreeMap<Name, GroupHandle>,
-    /// Holds the lock on the folder.
-    _folder: Option<DataFolder>,
 }
 
 /// Name of the ledger group of a home region.
@@ -40,14 +39,14 @@
     pub(super) fn start(gateway: &Arc<Gateway>) -> Self {
         let ledgers = gateway.settings.ledgers.iter();
         let own = ledgers.filter(|(_, group)| group.voters.contains(gateway.host()));
-        let own: Vec<_> = own.collect();
-        let folder = if own.is_empty() { None } else { open_folder(gateway) };
-        let handles = own.into_iter().map(|(home, group)| {
+        let folder = LedgerFolder::of(gateway).map(|folder| Arc::new(Mutex::new(folder)));
+        let handles = own.map(|(home, group)| {
             let group_name = group_name(home);
-            let handle = start_group(gateway, &group_name, &group.voters, folder.as_ref());
+            let opener = folder.clone().map(|folder| opener(folder, group_name.clone()));
+            let handle = start_group(gateway, &group_name, &group.voters, opener);
             (group_name, handle)
         });
-        Self { handles: handles.collect(), _folder: folder }
+        Self { handles: handles.collect() }
     }
 
     pub(super) fn get(&self, group: &Name) -> Option<&GroupHandle> {
@@ -69,40 +68,49 @@
 
 const STEP_DOWN_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
 
-/// Opens the folder of the ledgers. `None` if the settings name no data folder or the folder cannot
-/// be opened; the ledgers are then kept in memory.
-fn open_folder(gateway: &Gateway) -> Option<DataFolder> {
-    let storage = gateway.settings.storage.as_ref()?;
-    let path = Path::new(&storage.folder).join(LEDGERS_FOLDER);
-    let opened = std::fs::create_dir_all(&path).map_err(|error| error.to_string());
-    let opened = opened.and_then(|()| DataFolder::open(&path).map_err(|error| error.to_string()));
-    opened
-        .inspect_err(|error| {
-            log::error!(
-                event = Event::StorageFailed.number();
-                "cannot use the ledger folder, keeping the ledgers in memory: {error}"
-            );
-        })
-        .ok()
+/// The folder of the ledgers inside the data folder, opened when the first ledger is.
+struct LedgerFolder {
+    path: PathBuf,
+    opened: Option<DataFolder>,
+}
+
+impl LedgerFolder {
+    /// The folder that the settings name; `None` if the ledgers are kept in memory.
+    fn of(gateway: &Gateway) -> Option<Self> {
+        let storage = gateway.settings.storage.as_ref()?;
+        Some(Self { path: Path::new(&storage.folder).join(LEDGERS_FOLDER), opened: None })
+    }
+
+    /// Opens the log of a ledger, and the folder if it isn't open yet. Both are tried again after
+    /// an error: a ledger that was kept in memory instead would forget its commands.
+    fn open_group(&mut self, group: &Name) -> Result<OpenedGroup, StorageError> {
+        let folder = match &mut self.opened {
+            Some(folder) => folder,
+            opened => opened.insert(DataFolder::open(&self.path)?),
+        };
+        let (storage, recovered) = folder.open_group(group, StorageIo::default())?;
+        Ok(OpenedGroup { storage_id: folder.storage_id().clone(), storage, recovered })
+    }
+}
+
+fn opener(folder: Arc<Mutex<LedgerFolder>>, group: Name) -> StorageOpener {
+    StorageOpener::new(move || folder.lock().expect("lock").open_group(&group))
 }
 
 fn start_group(
     gateway: &Arc<Gateway>,
     group: &Name,
     voters: &[Name],
-    folder: Option<&DataFolder>,
+    opener: Option<StorageOpener>,
 ) -> GroupHandle {
-    let opened = folder.and_then(|folder| open_group(folder, group));
-    let storage_id = match (&opened, folder) {
-        (Some(_), Some(folder)) => folder.storage_id().clone(),
-        _ => Name::from(Uuid::new_v4().to_string()),
-    };
+    // A ledger that is kept in memory is a new replica after each start.
+    let storage_id = Name::from(Uuid::new_v4().to_string());
     let election_timeout_ms = gateway.settings.timing.election_timeout_ms;
     let settings = GroupDriverSettings {
         group: group.clone(),
         identity: Voter { host: gateway.host().clone(), storage_id },
         voters: voters.to_vec(),
-        storage: opened,
+        storage: opener,
         timing: GroupTiming {
             election_timeout_ms,
             heartbeat_ms: (election_timeout_ms / HEARTBEATS_PER_ELECTION_TIMEOUT).max(1),
@@ -115,20 +123,6 @@
     GroupDriver::start(settings, machine(), sender(gateway))
 }
 
-fn open_group(folder: &DataFolder, group: &Name) -> Option<OpenedGroup> {
-    let opened: Result<_, StorageError> = folder.open_group(group, StorageIo::default());
-    match opened {
-        Ok((storage, recovered)) => Some(OpenedGroup { storage, recovered }),
-        Err(error) => {
-            log::error!(
-                event = Event::StorageFailed.number();
-                "cannot open the log of ledger {group}, keeping the ledger in memory: {error}"
-            );
-            None
-        }
-    }
-}
-
 fn machine() -> GroupMachine {
     let machine = Arc::new(Mutex::new(Machine::new(MachineSettings::default())));
     let (applied, restored) = (machine.clone(), machine.clone());
--- a/crates/anvillift-gateway/src/control/group.rs
+++ b/crates/anvillift-gateway/src/control/group.rs
@@ -5,10 +5,10 @@
 use anvillift_control::{ControlMachine, encode};
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupTiming, OpenedGroup, SendFn,
+    StorageOpener,
 };
 use anvillift_schema::configuration::ControlCommand;
 use anvillift_schema::consensus::Voter;
-use anvillift_schema::event::Event;
 use anvillift_schema::link::PeerMessage;
 use anvillift_schema::name::Name;
 use anvillift_storage::StorageIo;
@@ -31,22 +31,18 @@
     if voters.is_empty() {
         return;
     }
-    let opened = match folder.open_group(&Name::from(GROUP), StorageIo::default()) {
-        Ok((storage, recovered)) => OpenedGroup { storage, recovered },
-        Err(error) => {
-            log::error!(
-                event = Event::StorageFailed.number(), code = error.code().number();
-                "cannot open the control log: {error}"
-            );
-            return;
-        }
-    };
+    let opened_folder = Arc::clone(folder);
+    let opener = StorageOpener::new(move || {
+        let group = Name::from(GROUP);
+        let (storage, recovered) = opened_folder.open_group(&group, StorageIo::default())?;
+        Ok(OpenedGroup { storage_id: opened_folder.storage_id().clone(), storage, recovered })
+    });
     let election_timeout_ms = gateway.settings.timing.election_timeout_ms;
     let settings = GroupDriverSettings {
         group: Name::from(GROUP),
         identity: Voter { host: gateway.host().clone(), storage_id: folder.storage_id().clone() },
         voters: voters.clone(),
-        storage: Some(opened),
+        storage: Some(opener),
         timing: GroupTiming {
             election_timeout_ms,
             heartbeat_ms: election_timeout_ms / HEARTBEATS_PER_ELECTION_TIMEOUT,
--- a/crates/anvillift-gateway/src/control/state.rs
+++ b/crates/anvillift-gateway/src/control/state.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct Control {
     /// The data folder of a host with a disk.
-    pub(crate) folder: Option<DataFolder>,
+    pub(crate) folder: Option<Arc<DataFolder>>,
     /// The replicated state machine; it stays empty on hosts that are not control hosts.
     pub(crate) machine: Arc<Mutex<ControlMachine>>,
     /// Notified when the state machine has a newer configuration.
@@ -43,7 +43,7 @@
     /// Opens the data folder, if the settings name one.
     pub(crate) fn open(settings: &HostSettings) -> Result<Self, StorageError> {
         let folder = match &settings.storage {
-            Some(storage) => Some(DataFolder::open(Path::new(&storage.folder))?),
+            Some(storage) => Some(Arc::new(DataFolder::open(Path::new(&storage.folder))?)),
             None => None,
         };
         Ok(Self {
@@ -62,7 +62,7 @@
 
     /// Id of the data folder; `None` on a host without a disk.
     pub(crate) fn storage_id(&self) -> Option<&Name> {
-        self.folder.as_ref().map(DataFolder::storage_id)
+        self.folder.as_ref().map(|folder| folder.storage_id())
     }
 
     pub(crate) fn machine(&self) -> MutexGuard<'_, ControlMachine> {
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -7,13 +7,12 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use anvillift_consensus::RoleKind;
 use anvillift_fleet::{ControlMachine, seed};
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupStatus, GroupTiming,
-    MembershipError, OpenedGroup, ProposeError,
+    MembershipError, OpenedGroup, ProposeError, StorageOpener,
 };
 use anvillift_schema::consensus::{ConsensusEnvelope, Voter};
 use anvillift_schema::event::Event;
@@ -22,7 +21,7 @@
 use anvillift_storage::{DataFolder, StorageIo};
 use snafu::ResultExt;
 use tokio::sync::{mpsc, watch};
-use tokio::{task, time};
+use tokio::task;
 
 use crate::error::{NodeError, StorageSnafu};
 use crate::hub::Hub;
@@ -47,43 +46,37 @@
     heartbeat_ms: 125,
     lease_reads: false,
 };
-/// Pause before a failed storage is opened again.
-const REOPEN_DELAY: Duration = Duration::from_millis(700);
 
 type Outgoing = (Name, ConsensusEnvelope);
 
-/// Replica of the control log, restarted when its storage fails.
+/// Replica of the control log.
 pub(crate) struct ControlLog {
-    folder: Arc<DataFolder>,
-    node: Rc<Node>,
-    founders: Vec<Name>,
-    group: RefCell<GroupHandle>,
+    group: GroupHandle,
     machine: Arc<Mutex<ControlMachine>>,
     /// Index of the last applied command.
     changes: watch::Sender<u64>,
-    outgoing: mpsc::UnboundedSender<Outgoing>,
     /// Taken by the task that sends the messages.
     outgoing_receiver: RefCell<Option<mpsc::UnboundedReceiver<Outgoing>>>,
 }
 
 impl ControlLog {
     /// Opens the storage and starts the replica from the recovered log.
-    pub(crate) fn start(node: &Rc<Node>, folder: Arc<DataFolder>) -> Result<Self, NodeError> {
+    pub(crate) fn start(node: &Node, folder: Arc<DataFolder>) -> Result<Self, NodeError> {
         let founders = founder_names(node, &folder)?;
         let (outgoing, outgoing_receiver) = mpsc::unbounded_channel();
         let (changes, _) = watch::channel(0);
         let machine = Arc::new(Mutex::new(ControlMachine::default()));
-        let replica_parts = ReplicaParts { node, folder: &folder, founders: &founders };
-        let group = replica_parts.start_group(&machine, &changes, &outgoing)?;
+        let send = Arc::new(move |to: Name, envelope| {
+            // Sending can't fail: the receiver lives as long as the process.
+            outgoing.send((to, envelope)).ok();
+        });
+        let settings = group_settings(node, folder, founders);
+        let group = GroupDriver::start(settings, group_machine(&machine, &changes), send);
         Ok(Self {
-            node: Rc::clone(node),
-            group: RefCell::new(group),
+            group,
             outgoing_receiver: RefCell::new(Some(outgoing_receiver)),
-            folder,
-            founders,
             machine,
             changes,
-            outgoing,
         })
     }
 
@@ -100,7 +93,7 @@
     }
 
     pub(crate) fn receive(&self, from: Name, envelope: ConsensusEnvelope) {
-        self.group().receive(from, envelope);
+        self.group.receive(from, envelope);
     }
 
     /// Proposes a command and waits until it is committed. Fails if this replica
@@ -109,14 +102,12 @@
         let mut bytes = Vec::new();
         // Writing to a vector can't fail.
         ciborium::into_writer(command, &mut bytes).ok();
-        let group = self.group();
-        group.propose(bytes).await.map(|_| ())
+        self.group.propose(bytes).await.map(|_| ())
     }
 
     /// Waits until the local state includes every command acknowledged so far.
     pub(crate) async fn read_barrier(&self) -> Result<u64, ProposeError> {
-        let group = self.group();
-        group.read_barrier().await
+        self.group.read_barrier().await
     }
 
     /// The state after the last command applied here, which may lag behind the
@@ -142,7 +133,7 @@
     }
 
     pub(crate) fn status(&self) -> GroupStatus {
-        self.group().status()
+        self.group.status()
     }
 
     pub(crate) fn is_leader(&self) -> bool {
@@ -150,92 +141,43 @@
     }
 
     pub(crate) async fn add_learner(&self, replica: Voter) -> Result<(), MembershipError> {
-        let group = self.group();
-        group.add_learner(replica).await
+        self.group.add_learner(replica).await
     }
 
     pub(crate) async fn remove_replica(&self, replica: &Voter) -> Result<(), MembershipError> {
-        let group = self.group();
-        group.remove_replica(replica.clone()).await
-    }
-
-    /// Restarts the replica from disk whenever its storage fails.
-    pub(crate) async fn supervise(&self) {
-        loop {
-            let mut status = self.group().watch();
-            let failed = status.wait_for(|status| status.failed).await.is_ok();
-            if !failed && self.node.is_leaving() {
-                return;
-            }
-            self.group().stop().await;
-            time::sleep(REOPEN_DELAY).await;
-            // The state may be ahead of the snapshot, so it is rebuilt from an empty
-            // one: the replica restores the snapshot and applies the log again.
-            *lock(&self.machine) = ControlMachine::default();
-            let replica_parts =
-                ReplicaParts { node: &self.node, folder: &self.folder, founders: &self.founders };
-            match replica_parts.start_group(&self.machine, &self.changes, &self.outgoing) {
-                Ok(group) => {
-                    log::info!(event = Event::StorageReopened.number(); "control log reopened after a storage fault");
-                    self.group.replace(group);
-                }
-                Err(error) => {
-                    log::error!(event = Event::StorageFailed.number(); "cannot reopen the control log: {error}");
-                }
-            }
-        }
+        self.group.remove_replica(replica.clone()).await
     }
 
     /// Transfers leadership if this replica leads, and closes the storage.
     pub(crate) async fn stop(&self) {
-        let group = self.group();
         if self.is_leader() {
-            group.step_down().await;
+            self.group.step_down().await;
         }
-        group.stop().await;
+        self.group.stop().await;
     }
-
-    fn group(&self) -> GroupHandle {
-        self.group.borrow().clone()
-    }
-}
-
-/// Parts from which a replica is started, both at first and after a storage fault.
-struct ReplicaParts<'a> {
-    node: &'a Rc<Node>,
-    folder: &'a DataFolder,
-    founders: &'a [Name],
 }
 
-impl ReplicaParts<'_> {
-    fn start_group(
-        &self,
-        machine: &Arc<Mutex<ControlMachine>>,
-        changes: &watch::Sender<u64>,
-        outgoing: &mpsc::UnboundedSender<Outgoing>,
-    ) -> Result<GroupHandle, NodeError> {
+fn group_settings(
+    node: &Node,
+    folder: Arc<DataFolder>,
+    founders: Vec<Name>,
+) -> GroupDriverSettings {
+    let own_host = node.own_host();
+    let storage_id = folder.storage_id().clone();
+    let opener = StorageOpener::new(move || {
         let group = Name::from(GROUP_NAME);
-        let opened = self.folder.open_group(&group, StorageIo::default()).context(StorageSnafu)?;
-        let (storage, recovered) = opened;
-        let own_host = self.node.own_host();
-        let identity =
-            Voter { host: own_host.name.clone(), storage_id: self.folder.storage_id().clone() };
-        let settings = GroupDriverSettings {
-            group,
-            identity,
-            voters: self.founders.to_vec(),
-            storage: Some(OpenedGroup { storage, recovered }),
-            timing: TIMING,
-            snapshot_entries: SNAPSHOT_ENTRIES,
-            seed: seed::of_host(&own_host.name, own_host.boot),
-            ..GroupDriverSettings::default()
-        };
-        let outgoing = outgoing.clone();
-        let send = Arc::new(move |to: Name, envelope| {
-            // Sending can't fail: the receiver lives as long as the process.
-            outgoing.send((to, envelope)).ok();
-        });
-        Ok(GroupDriver::start(settings, group_machine(machine, changes), send))
+        let (storage, recovered) = folder.open_group(&group, StorageIo::default())?;
+        Ok(OpenedGroup { storage_id: folder.storage_id().clone(), storage, recovered })
+    });
+    GroupDriverSettings {
+        group: Name::from(GROUP_NAME),
+        identity: Voter { host: own_host.name.clone(), storage_id },
+        voters: founders,
+        storage: Some(opener),
+        timing: TIMING,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        seed: seed::of_host(&own_host.name, own_host.boot),
+        ..GroupDriverSettings::default()
     }
 }
 
@@ -273,7 +215,7 @@
 /// Names of the hosts that form the group. They are saved to disk, so that a
 /// founding host that restarts before the group has formed still takes part in
 /// forming it.
-fn founder_names(node: &Rc<Node>, folder: &DataFolder) -> Result<Vec<Name>, NodeError> {
+fn founder_names(node: &Node, folder: &DataFolder) -> Result<Vec<Name>, NodeError> {
     if node.settings.is_first_start {
         let names = node.settings.seed_names();
         folder.save(FOUNDERS_FILE, &names).context(StorageSnafu)?;
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -106,8 +106,6 @@
         task::spawn_local(Rc::clone(&core).save_crashes());
         let publisher = Rc::clone(&core);
         task::spawn_local(async move { publisher.publish_control().await });
-        let supervisor = Rc::clone(&core);
-        task::spawn_local(async move { supervisor.log.supervise().await });
         Ok(core)
     }
 
--- a/crates/anvillift-replication/examples/measure.rs
+++ b/crates/anvillift-replication/examples/measure.rs
@@ -17,7 +17,7 @@
 
 use anvillift_consensus::RoleKind;
 use anvillift_replication::{
-    GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, OpenedGroup, SendFn,
+    GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, OpenedGroup, SendFn, StorageOpener,
 };
 use anvillift_schema::consensus::Voter;
 use anvillift_schema::name::Name;
@@ -37,7 +37,7 @@
 
 struct Member {
     handle: GroupHandle,
-    _folder: DataFolder,
+    _folder: Arc<DataFolder>,
 }
 
 struct Group {
@@ -73,12 +73,18 @@
 impl Group {
     fn start(&mut self, name: &Name) -> Result<(), Box<dyn Error>> {
         let folder = DataFolder::open(&Path::new(&self.root).join(name.as_str()))?;
-        let (storage, recovered) = folder.open_group(&Name::from("group"), StorageIo::default())?;
+        let folder = Arc::new(folder);
+        let opened = Arc::clone(&folder);
+        let storage = StorageOpener::new(move || {
+            let group = Name::from("group");
+            let (storage, recovered) = opened.open_group(&group, StorageIo::default())?;
+            Ok(OpenedGroup { storage_id: opened.storage_id().clone(), storage, recovered })
+        });
         let settings = GroupDriverSettings {
             group: Name::from("group"),
             identity: Voter { host: name.clone(), storage_id: folder.storage_id().clone() },
             voters: self.names.clone(),
-            storage: Some(OpenedGroup { storage, recovered }),
+            storage: Some(storage),
             snapshot_entries: 1_000_000,
             seed: rand::random(),
             ..GroupDriverSettings::default()
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -2,7 +2,8 @@
 //!
 //! It receives [`Input`]s from a channel, passes them to the replica, and has the
 //! [`Performer`] carry out the returned effects. After each batch it publishes
-//! the status of the replica.
+//! the status of the replica. After a storage fault the replica stops, and a new one continues
+//! from the storage once that can be opened again.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,10 +12,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anvillift_consensus::{Effect, RecoveredState, Replica, ReplicaSettings, RoleKind, Snapshot};
+use anvillift_consensus::{Effect, Replica, RoleKind, Snapshot};
 use anvillift_schema::consensus::SnapshotMeta;
 use anvillift_schema::event::Event;
-use anvillift_storage::{RecoveredGroup, Repair, StorageError};
+use anvillift_storage::StorageError;
 use rustix::time::ClockId;
 use tokio::sync::{oneshot, watch};
 
@@ -24,12 +25,15 @@
 use crate::machine::GroupMachine;
 use crate::membership_error::MembershipError;
 use crate::performer::Performer;
+use crate::replica_source::{OpenedReplica, ReplicaSource};
 use crate::requests::PendingRequest;
 use crate::settings::{GroupDriverSettings, SendFn};
 use crate::status::GroupStatus;
 
 /// Interval between ticks of a replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
+/// Delay after which failed storage is opened again.
+const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum number of inputs that are handled before a sync.
 const MAX_BATCH_INPUTS: usize = 1_024;
 /// Maximum number of commands and reads that wait for their answer; more are
@@ -39,6 +43,7 @@
 /// Runs the replica of one group on a thread of its own.
 pub struct GroupDriver {
     replica: Replica,
+    source: ReplicaSource,
     performer: Performer,
     inputs: Receiver<Input>,
     queued: Arc<AtomicUsize>,
@@ -47,45 +52,48 @@
     snapshot_entries: u64,
     snapshot_bytes: usize,
     snapshot_index: u64,
-    failed: bool,
+    /// Time at which failed storage is opened again; `None` while the replica runs.
+    reopen_due: Option<Instant>,
     stopping: Option<oneshot::Sender<()>>,
 }
 
 impl GroupDriver {
     /// Starts the replica of a group with the state from its storage, or empty if
     /// it has none. A snapshot is restored into the state machine before this
-    /// returns.
+    /// returns. If the storage cannot be opened, the replica starts once it can.
     pub fn start(
         settings: GroupDriverSettings,
-        mut machine: GroupMachine,
+        machine: GroupMachine,
         send: SendFn,
     ) -> GroupHandle {
-        let replica_settings = replica_settings(&settings);
-        let (storage, recovered) = match settings.storage {
-            Some(opened) => (Some(opened.storage), restore_state(opened.recovered, &mut machine)),
-            None => (None, RecoveredState::default()),
-        };
-        let snapshot_index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index);
-        let replica = Replica::new(replica_settings, settings.identity, recovered, settings.seed);
+        let group = settings.group.clone();
+        let (snapshot_entries, snapshot_bytes) =
+            (settings.snapshot_entries, settings.snapshot_bytes);
+        let mut source = ReplicaSource::new(settings);
+        let replica = source.empty_replica();
         let (tx, inputs) = mpsc::channel();
         let queued = Arc::new(AtomicUsize::new(0));
         let (status, status_receiver) = watch::channel(GroupStatus::new(replica.status(), false));
-        let driver = Self {
+        let mut driver = Self {
             replica,
-            performer: Performer::new(settings.group.clone(), storage, machine, send),
+            source,
+            performer: Performer::new(group.clone(), machine, send),
             inputs,
             queued: Arc::clone(&queued),
             status,
             tick_due: Instant::now(),
-            snapshot_entries: settings.snapshot_entries,
-            snapshot_bytes: settings.snapshot_bytes,
-            snapshot_index,
-            failed: false,
+            snapshot_entries,
+            snapshot_bytes,
+            snapshot_index: 0,
+            reopen_due: None,
             stopping: None,
         };
-        let name = format!("group-{}", settings.group);
-        let thread = thread::Builder::new().name(name).spawn(|| driver.run());
-        if let Err(error) = thread {
+        if let Err(error) = driver.open() {
+            driver.fail(&error);
+        }
+        driver.publish();
+        let thread = thread::Builder::new().name(format!("group-{group}"));
+        if let Err(error) = thread.spawn(|| driver.run()) {
             log::error!(
                 event = Event::StorageFailed.number();
                 "could not start the driver thread of a group: {error}"
@@ -94,6 +102,18 @@
         GroupHandle::new(tx, queued, status_receiver)
     }
 
+    /// Opens the storage and replaces the replica by one that continues from its content.
+    fn open(&mut self) -> Result<(), StorageError> {
+        let OpenedReplica { replica, storage, snapshot } = self.source.open()?;
+        self.replica = replica;
+        self.performer.storage = storage;
+        self.snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index);
+        if let Some(snapshot) = snapshot {
+            self.performer.restore(&snapshot.meta, &snapshot.data);
+        }
+        Ok(())
+    }
+
     fn run(mut self) {
         while self.stopping.is_none() {
             let wait = self.tick_due.saturating_duration_since(Instant::now());
@@ -105,6 +125,7 @@
             if let Err(error) = self.run_batch(first) {
                 self.fail(&error);
             }
+            self.reopen_if_due();
             self.publish();
         }
         self.performer.abort();
@@ -134,7 +155,7 @@
         if Instant::now() >= self.tick_due {
             self.tick_due = Instant::now() + TICK_INTERVAL;
             let now_ms = self.now_ms();
-            let effects = if self.failed { Vec::new() } else { self.replica.tick(now_ms) };
+            let effects = if self.is_failed() { Vec::new() } else { self.replica.tick(now_ms) };
             self.perform(effects)?;
         }
         self.sync_until_idle()?;
@@ -142,13 +163,13 @@
     }
 
     fn perform(&mut self, effects: Vec<Effect>) -> Result<(), StorageError> {
-        if self.failed { Ok(()) } else { self.performer.perform(effects) }
+        if self.is_failed() { Ok(()) } else { self.performer.perform(effects) }
     }
 
     /// Syncs and reports the durable index to the replica until no effects are
     /// left.
     fn sync_until_idle(&mut self) -> Result<(), StorageError> {
-        while !self.failed {
+        while !self.is_failed() {
             let Some(index) = self.performer.flush()? else { break };
             let effects = self.replica.synced(self.now_ms(), index);
             self.perform(effects)?;
@@ -163,7 +184,7 @@
                 self.stopping = Some(reply);
                 Vec::new()
             }
-            _ if self.failed => reject(input),
+            _ if self.is_failed() => reject(input),
             Input::Receive { from, envelope } => self.replica.receive(now_ms, &from, envelope),
             Input::Propose { command, reply } => {
                 let propose = |replica: &mut Replica, id| replica.propose(now_ms, id, command);
@@ -210,7 +231,12 @@
         let has_many_entries = index >= self.snapshot_index + self.snapshot_entries;
         let has_many_bytes = index > self.snapshot_index
             && self.replica.bytes_after(self.snapshot_index) >= self.snapshot_bytes;
-        if self.failed || !(has_many_entries || has_many_bytes) {
+        if self.is_failed() || !(has_many_entries || has_many_bytes) {
+            return Ok(());
+        }
+        // After a storage fault the state machine is ahead of the replica until the log has been
+        // replayed.
+        if self.performer.applied_index() != index {
             return Ok(());
         }
         let Some(term) = self.replica.term_at(index) else { return Ok(()) };
@@ -228,22 +254,48 @@
         Ok(())
     }
 
-    /// Stops the replica permanently after a storage fault, because the content of
-    /// the disk is then unknown.
+    /// Stops the replica after a storage fault, because the content of the disk is then unknown.
     fn fail(&mut self, error: &StorageError) {
-        self.failed = true;
+        self.reopen_due = Some(Instant::now() + REOPEN_DELAY);
         self.publish();
         self.performer.abort();
         let group = &self.performer.group;
         log::error!(
             event = Event::StorageFailed.number(), group = group.as_str(),
-            code = error.code().number();
-            "storage of group {group} failed; stopping its replica: {error}"
+            code = error.code().number(), reopen_after_ms = REOPEN_DELAY.as_millis() as u64;
+            "storage of group {group} failed; its replica stops until it can be opened again: {error}"
+        );
+    }
+
+    fn is_failed(&self) -> bool {
+        self.reopen_due.is_some()
+    }
+
+    /// Opens failed storage again once its delay has passed.
+    fn reopen_if_due(&mut self) {
+        if self.reopen_due.is_none_or(|due| Instant::now() < due) {
+            return;
+        }
+        if let Err(error) = self.reopen() {
+            self.fail(&error);
+            return;
+        }
+        self.reopen_due = None;
+        let group = &self.performer.group;
+        log::info!(
+            event = Event::StorageReopened.number(), group = group.as_str(),
+            index = self.performer.applied_index();
+            "storage of group {group} opened again after a fault"
         );
     }
 
+    fn reopen(&mut self) -> Result<(), StorageError> {
+        self.performer.discard_unsynced()?;
+        self.open()
+    }
+
     fn publish(&mut self) {
-        let mut status = GroupStatus::new(self.replica.status(), self.failed);
+        let mut status = GroupStatus::new(self.replica.status(), self.is_failed());
         let (role_before, term_before, leader_since) = {
             let published = self.status.borrow();
             (published.role, published.term, published.leader_since)
@@ -283,19 +335,6 @@
     }
 }
 
-fn replica_settings(settings: &GroupDriverSettings) -> ReplicaSettings {
-    ReplicaSettings {
-        group: settings.group.clone(),
-        form_voters: settings.voters.clone(),
-        election_timeout_ms: settings.timing.election_timeout_ms,
-        election_step_ms: settings.timing.election_step_ms,
-        heartbeat_ms: settings.timing.heartbeat_ms,
-        lease_reads: settings.timing.lease_reads,
-        replace_restarted_hosts: settings.replace_restarted_hosts,
-        ..ReplicaSettings::default()
-    }
-}
-
 fn reject(input: Input) -> Vec<Effect> {
     match input {
         Input::Propose { reply, .. } => {
@@ -321,27 +360,6 @@
     }
 }
 
-/// Restores the snapshot into the state machine and converts the rest for the
-/// replica.
-fn restore_state(recovered: RecoveredGroup, machine: &mut GroupMachine) -> RecoveredState {
-    if recovered.repair != Repair::None {
-        log::warn!(
-            event = Event::StorageRepaired.number();
-            "the log of a group was repaired when it was opened: {:?}", recovered.repair
-        );
-    }
-    let snapshot = recovered.snapshot.map(|(meta, data)| Snapshot { meta, data: Arc::new(data) });
-    if let Some(snapshot) = snapshot.as_ref().filter(|snapshot| snapshot.meta.index > 0) {
-        (machine.restore)(&snapshot.data);
-    }
-    RecoveredState {
-        vote: recovered.vote,
-        snapshot,
-        entries: recovered.entries,
-        refetch_upto: recovered.refetch_upto,
-    }
-}
-
 impl From<anvillift_consensus::ProposeError> for ProposeError {
     fn from(error: anvillift_consensus::ProposeError) -> Self {
         let anvillift_consensus::ProposeError::NotLeader { leader } = error;
--- a/crates/anvillift-replication/src/lib.rs
+++ b/crates/anvillift-replication/src/lib.rs
@@ -4,8 +4,8 @@
 //! takes all queued inputs, passes them to the replica, makes the resulting
 //! writes durable with one sync, and only then sends answers. Proposals that
 //! arrive during a sync share the next one. If the storage fails, the replica
-//! stops before anything that is not durable is acknowledged. Start at
-//! [`GroupDriver::start`], which returns a [`GroupHandle`].
+//! stops before anything that is not durable is acknowledged, and continues once
+//! the storage can be opened again. Start at [`GroupDriver::start`], which returns a [`GroupHandle`].
 
 mod driver;
 mod error;
@@ -14,6 +14,7 @@
 mod machine;
 mod membership_error;
 mod performer;
+mod replica_source;
 mod requests;
 mod settings;
 mod status;
@@ -23,5 +24,5 @@
 pub use handle::GroupHandle;
 pub use machine::GroupMachine;
 pub use membership_error::MembershipError;
-pub use settings::{GroupDriverSettings, GroupTiming, OpenedGroup, SendFn};
+pub use settings::{GroupDriverSettings, GroupTiming, OpenedGroup, SendFn, StorageOpener};
 pub use status::GroupStatus;
--- a/crates/anvillift-replication/src/performer.rs
+++ b/crates/anvillift-replication/src/performer.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use anvillift_consensus::{Effect, Snapshot};
-use anvillift_schema::consensus::{ConsensusEnvelope, Entry};
+use anvillift_schema::consensus::{ConsensusEnvelope, Entry, SnapshotMeta};
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
 use anvillift_storage::{GroupStorage, StorageError};
@@ -28,24 +28,23 @@
     /// Effects that are performed after the next sync.
     deferred: Vec<Effect>,
     unsynced_index: Option<u64>,
+    /// Highest log index in the state of the machine.
+    applied_index: u64,
     last_answer: Vec<u8>,
 }
 
 impl Performer {
-    pub(crate) fn new(
-        group: Name,
-        storage: Option<GroupStorage>,
-        machine: GroupMachine,
-        send: SendFn,
-    ) -> Self {
+    /// Creates a performer without storage.
+    pub(crate) fn new(group: Name, machine: GroupMachine, send: SendFn) -> Self {
         Self {
             group,
-            storage,
+            storage: None,
             machine,
             requests: Requests::default(),
             send,
             deferred: Vec::new(),
             unsynced_index: None,
+            applied_index: 0,
             last_answer: Vec::new(),
         }
     }
@@ -100,8 +99,11 @@
     fn perform_now(&mut self, effect: Effect) -> Result<(), StorageError> {
         match effect {
             Effect::Send { to, envelope } => self.send_message(to, envelope),
+            // A replica that continues after a storage fault replays what the machine has applied.
+            Effect::Apply { index, .. } if index <= self.applied_index => (),
             Effect::Apply { index, command } => {
                 self.last_answer = (self.machine.apply)(index, &command);
+                self.applied_index = index;
             }
             Effect::Answer { request_id, result } => {
                 let answer = &mut self.last_answer;
@@ -111,8 +113,7 @@
                 if let Some(storage) = &mut self.storage {
                     storage.save_snapshot(&meta, &data, true)?;
                 }
-                if meta.index > 0 {
-                    (self.machine.restore)(&data);
+                if self.restore(&meta, &data) {
                     let group = &self.group;
                     log::info!(
                         event = Event::SnapshotInstalled.number(), group = group.as_str();
@@ -135,16 +136,42 @@
         (self.send)(to, envelope);
     }
 
+    /// Restores a snapshot into the state machine, unless its state is as new. Returns whether it
+    /// was restored.
+    pub(crate) fn restore(&mut self, meta: &SnapshotMeta, data: &[u8]) -> bool {
+        if meta.index <= self.applied_index {
+            return false;
+        }
+        (self.machine.restore)(data);
+        self.applied_index = meta.index;
+        true
+    }
+
+    /// Highest log index in the state of the machine.
+    pub(crate) fn applied_index(&self) -> u64 {
+        self.applied_index
+    }
+
     /// Makes a snapshot of the local state machine durable.
     pub(crate) fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), StorageError> {
         let Some(storage) = &mut self.storage else { return Ok(()) };
         storage.save_snapshot(&snapshot.meta, &snapshot.data, false)
     }
 
+    /// Removes from failed storage what was written without a successful sync, and closes it.
+    pub(crate) fn discard_unsynced(&mut self) -> Result<(), StorageError> {
+        if let Some(storage) = &mut self.storage {
+            storage.discard_unsynced()?;
+        }
+        self.storage = None;
+        Ok(())
+    }
+
     /// Drops the deferred effects and fails the pending requests. Called after a
     /// fault or on a stop, when entries before these effects may not be durable.
     pub(crate) fn abort(&mut self) {
         self.deferred.clear();
+        self.unsynced_index = None;
         self.requests.fail_all();
     }
 }
--- a/crates/anvillift-replication/src/settings.rs
+++ b/crates/anvillift-replication/src/settings.rs
@@ -1,14 +1,17 @@
 //! Settings with which the driver of a group is started.
 
+use std::fmt;
 use std::sync::Arc;
 
 use anvillift_schema::consensus::{ConsensusEnvelope, Voter};
 use anvillift_schema::name::Name;
-use anvillift_storage::{GroupStorage, RecoveredGroup};
+use anvillift_storage::{GroupStorage, RecoveredGroup, StorageError};
 
 /// Sends a message to a host. The message may be lost.
 pub type SendFn = Arc<dyn Fn(Name, ConsensusEnvelope) + Send + Sync>;
 
+type OpenFn = Box<dyn FnMut() -> Result<OpenedGroup, StorageError> + Send>;
+
 /// Timing of elections and heartbeats, and how the leader serves reads.
 #[derive(Clone, Copy, Debug)]
 pub struct GroupTiming {
@@ -39,25 +42,46 @@
 /// Storage of a group and the state that was recovered when it was opened.
 #[derive(Debug)]
 pub struct OpenedGroup {
+    /// Id of the storage, which identifies the replica.
+    pub storage_id: Name,
     /// Open storage, into which the driver writes.
     pub storage: GroupStorage,
     /// State that the storage held when it was opened.
     pub recovered: RecoveredGroup,
 }
 
+/// Opens the storage of a group, when its driver starts and again after a storage fault.
+pub struct StorageOpener {
+    /// Opens the storage. It is tried again after an error.
+    pub open: OpenFn,
+}
+
+impl StorageOpener {
+    /// Creates an opener from a closure.
+    pub fn new(open: impl FnMut() -> Result<OpenedGroup, StorageError> + Send + 'static) -> Self {
+        Self { open: Box::new(open) }
+    }
+}
+
+impl fmt::Debug for StorageOpener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StorageOpener")
+    }
+}
+
 /// Settings of a [`GroupDriver`](crate::GroupDriver), fixed while it runs.
 #[derive(Debug)]
 pub struct GroupDriverSettings {
     /// Name of the group, which is part of its messages, log lines and metrics.
     pub group: Name,
-    /// This host and the id of its storage. A group without storage uses a new id
-    /// for each start.
+    /// This host and, for a group without storage, an id that is new for each start. A group
+    /// with storage takes the id of that.
     pub identity: Voter,
     /// Hosts that form the group when their storage is empty; the first one is the
     /// coordinator.
     pub voters: Vec<Name>,
     /// Storage of the group, or `None` for a group that is kept in memory only.
-    pub storage: Option<OpenedGroup>,
+    pub storage: Option<StorageOpener>,
     /// Timing of elections and heartbeats.
     pub timing: GroupTiming,
     /// Number of applied entries after which the next snapshot is taken.
--- a/crates/anvillift-replication/src/status.rs
+++ b/crates/anvillift-replication/src/status.rs
@@ -21,8 +21,8 @@
     pub voters: VoterSet,
     /// Whether entries lost from a damaged log are still being received again.
     pub refetching: bool,
-    /// Whether the storage failed, after which the replica does nothing until it
-    /// is restarted.
+    /// Whether the storage failed. The replica does nothing until the storage can be opened
+    /// again.
     pub failed: bool,
     /// Time at which this replica became leader in its current term, or `None` if
     /// it is not the leader.
--- a/crates/anvillift-replication/tests/testsuite/faults.rs
+++ b/crates/anvillift-replication/tests/testsuite/faults.rs
@@ -11,18 +11,16 @@
 
 use crate::support::{Group, eventually, folder_of, host, lock};
 
-/// Storage I/O whose writes fail with `kind` while the switch is set.
+/// Storage I/O whose writes and syncs fail with `kind` while the switch is set.
 fn failing_io(switch: &Arc<AtomicBool>, kind: io::ErrorKind) -> StorageIo {
-    let StorageIo { mut write, sync } = StorageIo::default();
-    let switch = Arc::clone(switch);
+    let StorageIo { mut write, mut sync } = StorageIo::default();
+    let (writes, syncs) = (Arc::clone(switch), Arc::clone(switch));
+    let check = move |switch: &AtomicBool| {
+        if switch.load(Ordering::Relaxed) { Err(io::Error::from(kind)) } else { Ok(()) }
+    };
     StorageIo {
-        write: Box::new(move |file, bytes| {
-            if switch.load(Ordering::Relaxed) {
-                return Err(kind.into());
-            }
-            write(file, bytes)
-        }),
-        sync,
+        write: Box::new(move |file, bytes| check(&writes).and_then(|()| write(file, bytes))),
+        sync: Box::new(move |file| check(&syncs).and_then(|()| sync(file))),
     }
 }
 
@@ -31,7 +29,9 @@
     let mut group = Group::new(3);
     for (number, switch) in switches.iter().enumerate() {
         let name = host(number);
-        group.start_with(&name, folder_of(root.path(), &name), failing_io(switch, kind));
+        let switch = Arc::clone(switch);
+        let io = move || failing_io(&switch, kind);
+        group.start_with(&name, folder_of(root.path(), &name), io);
     }
     group.propose("before").await;
     (root, group)
@@ -78,3 +78,48 @@
         assert!(!lock(&member.applied).contains(&b"during".to_vec()));
     }
 }
+
+/// Guards against a group that loses its majority for good when the disks of its hosts fail for a
+/// while one after another.
+#[rstest]
+#[tokio::test]
+async fn commands_are_accepted_after_disks_have_failed_one_after_another(
+    #[values(io::ErrorKind::StorageFull, io::ErrorKind::Other)] kind: io::ErrorKind,
+) {
+    let switches: Vec<_> = (0..3).map(|_| Arc::new(AtomicBool::new(false))).collect();
+    let (_root, group) = start(&switches, kind).await;
+    for round in 0..2 {
+        for (number, switch) in switches.iter().enumerate() {
+            switch.store(true, Ordering::Relaxed);
+            let name = host(number);
+            let command = format!("while the disk of {name} fails, round {round}");
+            group.propose(&command).await;
+            eventually("the fault", || group.members[&name].handle.status().failed.then_some(()))
+                .await;
+            switch.store(false, Ordering::Relaxed);
+            group.wait_until_applied(&name, &command).await;
+        }
+    }
+    group.propose("after").await;
+    let expected = lock(&group.members[&group.leader().await].applied).clone();
+    for name in (0..3).map(host) {
+        group.wait_until_applied(&name, "after").await;
+        assert_eq!(*lock(&group.members[&name].applied), expected, "{name}");
+    }
+}
+
+/// Guards against a host that stays without a replica because its disk was full when it started.
+#[tokio::test]
+async fn a_host_whose_disk_fails_when_it_starts_joins_later() {
+    let switches: Vec<_> = (0..3).map(|_| Arc::new(AtomicBool::new(false))).collect();
+    let (root, mut group) = start(&switches, io::ErrorKind::StorageFull).await;
+    let (name, switch) = (host(2), Arc::clone(&switches[2]));
+    group.stop(&name).await;
+    switch.store(true, Ordering::Relaxed);
+    let io = move || failing_io(&switch, io::ErrorKind::StorageFull);
+    group.start_with(&name, folder_of(root.path(), &name), io);
+    assert!(group.members[&name].handle.status().failed);
+    group.propose("during").await;
+    switches[2].store(false, Ordering::Relaxed);
+    group.wait_until_applied(&name, "during").await;
+}
--- a/crates/anvillift-replication/tests/testsuite/support.rs
+++ b/crates/anvillift-replication/tests/testsuite/support.rs
@@ -9,6 +9,7 @@
 use anvillift_consensus::RoleKind;
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupTiming, OpenedGroup, SendFn,
+    StorageOpener,
 };
 use anvillift_schema::consensus::Voter;
 use anvillift_schema::name::Name;
@@ -25,7 +26,7 @@
     pub(crate) handle: GroupHandle,
     pub(crate) applied: Applied,
     pub(crate) storage_id: Name,
-    folder: Option<DataFolder>,
+    folder: Option<Arc<DataFolder>>,
 }
 
 /// Running hosts by name, and the handles through which messages reach them.
@@ -60,15 +61,25 @@
 
     /// Starts a host, with storage on disk if a folder is given.
     pub(crate) fn start(&mut self, name: &Name, folder: Option<PathBuf>) {
-        self.start_with(name, folder, StorageIo::default());
+        self.start_with(name, folder, StorageIo::default);
     }
 
-    pub(crate) fn start_with(&mut self, name: &Name, folder: Option<PathBuf>, io: StorageIo) {
+    /// Starts a host whose storage uses the given I/O each time it is opened.
+    pub(crate) fn start_with(
+        &mut self,
+        name: &Name,
+        folder: Option<PathBuf>,
+        io: impl Fn() -> StorageIo + Send + 'static,
+    ) {
         self.starts += 1;
-        let folder = folder.map(|path| DataFolder::open(&path).expect("the folder opens"));
-        let opened = folder.as_ref().map(|folder| {
-            let opened = folder.open_group(&Name::from("group"), io).expect("the group opens");
-            OpenedGroup { storage: opened.0, recovered: opened.1 }
+        let folder =
+            folder.map(|path| Arc::new(DataFolder::open(&path).expect("the folder opens")));
+        let opener = folder.clone().map(|folder| {
+            StorageOpener::new(move || {
+                let (storage, recovered) = folder.open_group(&Name::from("group"), io())?;
+                let storage_id = folder.storage_id().clone();
+                Ok(OpenedGroup { storage_id, storage, recovered })
+            })
         });
         let storage_id = match &folder {
             Some(folder) => folder.storage_id().clone(),
@@ -79,8 +90,8 @@
             group: Name::from("group"),
             identity: Voter { host: name.clone(), storage_id: storage_id.clone() },
             voters: self.names.clone(),
-            replace_restarted_hosts: opened.is_none(),
-            storage: opened,
+            replace_restarted_hosts: opener.is_none(),
+            storage: opener,
             timing: GroupTiming {
                 election_timeout_ms: 300,
                 heartbeat_ms: 50,
--- a/crates/anvillift-storage/src/group.rs
+++ b/crates/anvillift-storage/src/group.rs
@@ -46,8 +46,8 @@
     pub(crate) data: ByteBuf,
 }
 
-/// Log, vote and snapshot of a group. After an error nothing more is written,
-/// since the content of the disk is then unknown.
+/// Log, vote and snapshot of a group. After an error nothing more is appended,
+/// since the content of the disk is then unknown; the group has to be opened again.
 #[derive(Debug)]
 pub struct GroupStorage {
     paths: GroupPaths,
@@ -74,6 +74,9 @@
             // yet.
             (io.sync)(file).context(SyncSnafu { path: &segment.path })?;
         }
+        // A vote or snapshot that was renamed before a fault may be read back without being
+        // durable.
+        file::sync_folder_of(&mut io, &paths.vote)?;
         let storage =
             Self { paths, framing, io, segments, active, unsynced: Vec::new(), failed: false };
         Ok((storage, recovered))
@@ -129,6 +132,17 @@
         self.run_unless_failed(|storage| file::remove(&mut storage.io, &storage.paths.refetch))
     }
 
+    /// Truncates the log after its last successful sync. Call it after an error, before the group
+    /// is opened again: what a failed sync has left may be readable without being durable.
+    pub fn discard_unsynced(&mut self) -> Result<(), StorageError> {
+        self.unsynced.clear();
+        self.active = None;
+        let Some(segment) = self.segments.last() else { return Ok(()) };
+        segment.truncate(segment.bytes)?;
+        let file = segment.open()?;
+        (self.io.sync)(&file).context(SyncSnafu { path: &segment.path })
+    }
+
     fn run_unless_failed(
         &mut self,
         write: impl FnOnce(&mut Self) -> Result<(), StorageError>,
--- a/crates/anvillift-storage/src/recovery.rs
+++ b/crates/anvillift-storage/src/recovery.rs
@@ -145,7 +145,7 @@
     has_gap: bool,
 ) -> Result<Segment, StorageError> {
     let valid_bytes = if has_gap { 0 } else { content.valid_bytes };
-    segment.truncate(valid_bytes)?;
+    segment.truncate(valid_bytes as u64)?;
     segment.update_extent(&SegmentContent { valid_bytes, ..content });
     Ok(segment)
 }
--- a/crates/anvillift-storage/src/segment.rs
+++ b/crates/anvillift-storage/src/segment.rs
@@ -71,10 +71,10 @@
     }
 
     /// Truncates the file after its valid frames.
-    pub(crate) fn truncate(&self, valid_bytes: usize) -> Result<(), StorageError> {
+    pub(crate) fn truncate(&self, valid_bytes: u64) -> Result<(), StorageError> {
         let opened = OpenOptions::new().write(true).open(&self.path);
         let file = opened.context(FileSnafu { path: &self.path })?;
-        file.set_len(valid_bytes as u64).context(FileSnafu { path: &self.path })
+        file.set_len(valid_bytes).context(FileSnafu { path: &self.path })
     }
 }
 
--- a/crates/anvillift-storage/tests/testsuite/faults.rs
+++ b/crates/anvillift-storage/tests/testsuite/faults.rs
@@ -6,7 +6,7 @@
 
 use anvillift_schema::code::Code;
 use anvillift_schema::consensus::Vote;
-use anvillift_storage::{DataFolder, StorageError, StorageIo};
+use anvillift_storage::{DataFolder, Repair, StorageError, StorageIo};
 use rstest::rstest;
 
 use crate::support::{entry, group, meta, open, temporary_folder};
@@ -90,3 +90,27 @@
     drop((storage, data));
     assert_eq!(open(folder.path()).1.vote, Some(durable_vote));
 }
+
+/// Guards against a group that takes entries for durable which a failed sync has left in the log:
+/// they may be readable until the power is lost.
+#[rstest]
+fn entries_of_a_failed_sync_are_not_read_back(
+    #[values(Fault::Full, Fault::ShortWrite, Fault::Sync)] fault: Fault,
+) {
+    let folder = temporary_folder();
+    let switch = Arc::new(AtomicBool::new(false));
+    let data = DataFolder::open(folder.path()).expect("the folder opens");
+    let (mut storage, _) =
+        data.open_group(&group(), failing_io(fault, &switch)).expect("opens the group");
+    storage.append(vec![entry(1, 1)]);
+    storage.sync().expect("the entries are synced");
+    switch.store(true, Ordering::Relaxed);
+    storage.append(vec![entry(2, 1)]);
+    storage.sync().expect_err("the fault is reported");
+    switch.store(false, Ordering::Relaxed);
+    storage.discard_unsynced().expect("the log is truncated");
+    drop((storage, data));
+    let recovered = open(folder.path()).1;
+    assert_eq!(recovered.entries, vec![entry(1, 1)]);
+    assert_eq!(recovered.repair, Repair::None);
+}
