--- a/crates/anvillift-telemetry/src/logging/mod.rs
+++ b/crates/anvillift-telemetry/src/logging/mod.rs
@@ -6,6 +6,7 @@
 
 mod bounded;
 mod line;
+mod lossy;
 
 use std::fs::OpenOptions;
 use std::io::{self, Write};
@@ -18,6 +19,7 @@
 
 pub use bounded::BoundedOutput;
 pub use line::LogLine;
+use lossy::LossyOutput;
 
 /// An error in setting up logging.
 #[derive(Debug, snafu::Snafu)]
@@ -67,7 +69,7 @@
 }
 
 /// Creates a logger that writes lines to `output` in the format of the settings. Records below the
-/// level of the settings are not written.
+/// level of the settings are not written. Lines that `output` can't take are dropped.
 pub fn dispatch(settings: &LogSettings, output: Box<dyn Write + Send>) -> Dispatch {
     let is_json = settings.format == LogSettingsFormat::Json;
     Dispatch::new()
@@ -79,7 +81,7 @@
                 false => out.finish(format_args!("{}", line.to_text())),
             }
         })
-        .chain(output)
+        .chain(Box::new(LossyOutput::new(output)) as Box<dyn Write + Send>)
 }
 
 fn level_filter(level: LogSettingsLevel) -> LevelFilter {
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use serde_json::Value;
-use tokio::task;
+use tokio::{task, time};
 
 use crate::support::cluster::Cluster;
 use crate::support::tool::ToolOutput;
@@ -226,3 +227,31 @@
     assert_eq!(listed["profiles"]["majority"]["priority"], 3);
     assert!(listed["profiles"]["minority"].is_null(), "{listed}");
 }
+
+/// Time for which the disk of a host is full. It is longer than an election.
+const FULL_DISK_DURATION: Duration = Duration::from_secs(3);
+
+/// Guards against a control group that has no majority any more once the disks of its hosts have
+/// been full one after another.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_are_accepted_after_disks_were_full_one_after_another() {
+    let cluster = Cluster::start().await;
+    let first = wait_for_first_revision(&cluster).await;
+    let mut revision = first;
+    for host in ["oriente-1", "costa-sur-1", "altiplano-1"] {
+        cluster.hosts[host].fill_disk();
+        submit_until_accepted(&cluster, &format!("full-{revision}"), revision).await;
+        time::sleep(FULL_DISK_DURATION).await;
+        cluster.hosts[host].free_disk();
+        revision += 1;
+    }
+    let id = submit_until_accepted(&cluster, &format!("full-{revision}"), revision).await;
+    wait_until_in_force(&cluster, "costa-sur-2", &id).await;
+    for host in cluster.hosts.keys() {
+        let listed = list_profiles(&cluster, host);
+        for revision in first..=revision {
+            let name = format!("full-{revision}");
+            assert_eq!(listed["profiles"][&name]["priority"], 3, "{host} has lost {name}");
+        }
+    }
+}
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -312,3 +312,29 @@
     .await;
     assert_eq!(count_runs(&service, "k"), 1);
 }
+
+/// Time for which the disk of a host is full. It is longer than an election.
+const FULL_DISK_DURATION: Duration = Duration::from_secs(3);
+
+/// Guards against a ledger that has no majority any more once the disks of its hosts have been full
+/// one after another, and against one that forgets commands meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_run_once_after_disks_were_full_one_after_another() {
+    let settings = ClusterSettings { disks: 5, ..ClusterSettings::default() };
+    let (cluster, service) = cluster_with(settings).await;
+    wait_until_commands_run(&cluster, "costa-sur-1", "before").await;
+    for host in ["oriente-1", "oriente-2", "altiplano-1"] {
+        cluster.hosts[host].fill_disk();
+        wait_until_commands_run(&cluster, "costa-sur-1", host).await;
+        time::sleep(FULL_DISK_DURATION).await;
+        cluster.hosts[host].free_disk();
+    }
+    for host in ["oriente-1", "oriente-2", "costa-sur-1"] {
+        wait_until_commands_run(&cluster, host, "after").await;
+    }
+    for host in ["oriente-1", "costa-sur-1"] {
+        let repeated = send_command(&cluster, host, "served-before-costa-sur-1-1").await;
+        assert_ne!(repeated, None, "{host}");
+    }
+    assert!(count_runs(&service, "served-before-costa-sur-1-1") <= 1);
+}
--- a/tests/testsuite/support/host.rs
+++ b/tests/testsuite/support/host.rs
@@ -4,11 +4,15 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 
-use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
+use rustix::process::{Pid, Resource, Rlimit, Signal, WaitOptions, kill_process, prlimit, waitpid};
 
 use super::layout::HostLayout;
 use super::wait;
 
+/// Shell command that runs a program in the shell's place. A write beyond the limit of
+/// [`Host::fill_disk`] fails then, and doesn't end the program by a signal.
+const EXEC_WITHOUT_SIZE_SIGNAL: &str = "trap '' XFSZ; exec \"$0\" \"$@\"";
+
 /// A daemon with its folder; its process is killed when it is dropped.
 pub(crate) struct Host {
     /// Region, data centre and addresses of the host.
@@ -38,7 +42,9 @@
     pub(crate) fn start(&mut self) {
         assert!(self.child.is_none(), "{} is running", self.layout.host);
         let log = File::options().create(true).append(true).open(self.log_path()).expect("a log");
-        let child = Command::new(daemon_path())
+        let child = Command::new("sh")
+            .args(["-c", EXEC_WITHOUT_SIZE_SIGNAL])
+            .arg(daemon_path())
             .arg("--settings")
             .arg(self.folder.join("host.ini"))
             .stdout(log.try_clone().expect("a log"))
@@ -62,6 +68,23 @@
         kill_process(Pid::from_child(child), signal).expect("signalled");
     }
 
+    /// Lets each write fail by which a file of the process would grow, its log as well, as on a
+    /// full disk.
+    pub(crate) fn fill_disk(&self) {
+        self.limit_file_size(Some(0));
+    }
+
+    /// Lets the files of the process grow again.
+    pub(crate) fn free_disk(&self) {
+        self.limit_file_size(None);
+    }
+
+    fn limit_file_size(&self, bytes: Option<u64>) {
+        let child = self.child.as_ref().expect("the host runs");
+        let limit = Rlimit { current: bytes, maximum: None };
+        prlimit(Some(Pid::from_child(child)), Resource::Fsize, limit).expect("limited");
+    }
+
     /// Stops the process, and returns once none of its threads runs any more. The signal alone
     /// takes effect later on a busy machine.
     pub(crate) fn freeze(&self) {
