--- a/crates/anvillift-gateway/src/control/saved.rs
+++ b/crates/anvillift-gateway/src/control/saved.rs
@@ -30,7 +30,8 @@
     }
 }
 
-/// Saves each newer configuration until the task is aborted.
+/// Saves each newer configuration until the task is aborted. One that could not be saved is saved
+/// again after [`SAVE_INTERVAL`].
 pub(super) async fn run(gateway: Weak<Gateway>) {
     let Some(changed) = gateway.upgrade().map(|gateway| gateway.control.changed.clone()) else {
         return;
@@ -38,21 +39,24 @@
     loop {
         changed.notified().await;
         let Some(gateway) = gateway.upgrade() else { return };
-        tokio::task::spawn_blocking(move || save_newest(&gateway)).await.ok();
+        let saved = tokio::task::spawn_blocking(move || save_newest(&gateway)).await;
         time::sleep(SAVE_INTERVAL).await;
+        if !saved.unwrap_or(false) {
+            changed.notify_one();
+        }
     }
 }
 
 /// Saves the configuration that is held now; revision 0 is the one of the settings and not saved.
-pub(super) fn save_newest(gateway: &Arc<Gateway>) {
-    let Some(folder) = &gateway.control.folder else { return };
+/// Returns whether nothing is left to be saved.
+pub(super) fn save_newest(gateway: &Arc<Gateway>) -> bool {
+    let Some(folder) = &gateway.control.folder else { return true };
     let configuration = gateway.control.daemon_configuration().configuration().clone();
     if configuration.revision == 0 {
-        return;
-    }
-    if let Err(error) = folder.save(FILE_NAME, &*configuration) {
-        log_storage_error(&error);
+        return true;
     }
+    let saved = folder.save(FILE_NAME, &*configuration);
+    saved.inspect_err(log_storage_error).is_ok()
 }
 
 fn log_storage_error(error: &anvillift_storage::StorageError) {
--- a/tests/testsuite/changes.rs
+++ b/tests/testsuite/changes.rs
@@ -255,3 +255,23 @@
         }
     }
 }
+
+/// Guards against a host that starts with an old configuration in a region that is cut off, since
+/// its disk was full when the newest one came.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_is_saved_once_a_full_disk_has_room() {
+    let cluster = Cluster::start().await;
+    let first = wait_for_first_revision(&cluster).await;
+    cluster.hosts["costa-sur-1"].fill_disk();
+    let id = submit_until_accepted(&cluster, "during-full-disk", first).await;
+    wait_until_in_force(&cluster, "oriente-1", &id).await;
+    time::sleep(FULL_DISK_DURATION).await;
+    let file = cluster.hosts["costa-sur-1"].data_folder().join("configuration");
+    let is_saved = || {
+        let saved = fs::read(&file).unwrap_or_default();
+        String::from_utf8_lossy(&saved).contains("during-full-disk")
+    };
+    assert!(!is_saved());
+    cluster.hosts["costa-sur-1"].free_disk();
+    wait::until("the configuration is saved", async || is_saved()).await;
+}
