--- a/crates/anvillift-node/src/core/saved_crashes.rs
+++ b/crates/anvillift-node/src/core/saved_crashes.rs
@@ -25,6 +25,8 @@
 const FILE: &str = "crashes";
 /// Shortest time between two times of saving.
 const SAVE_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay after which crashes that could not be saved are saved again.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Content of the file.
 #[derive(Deserialize, Serialize)]
@@ -73,20 +75,27 @@
     pub(super) async fn save_crashes(self: Rc<Self>) {
         loop {
             self.crash_file.due.notified().await;
-            let folder = Arc::clone(&self.crash_file.folder);
-            let content = saved_evidence(&self.crash_evidence.borrow());
-            let saved = off_thread::result("crashes", move || folder.save(FILE, &content)).await;
-            let outcome = saved.map(|result| result.map_err(|error| error.to_string()));
-            // They are saved again with the next crash.
-            if let Err(error) = outcome.unwrap_or_else(|error| Err(error.to_string())) {
-                log::error!(
-                    event = Event::QuarantineNotSaved.number();
-                    "cannot save the crashes; they would not outlast a restart of all hosts: {error}"
-                );
+            match self.write_crashes().await {
+                Ok(()) => time::sleep(SAVE_INTERVAL).await,
+                Err(error) => {
+                    log::error!(
+                        event = Event::QuarantineNotSaved.number();
+                        "cannot save the crashes; they would not outlast a restart of all hosts: {error}"
+                    );
+                    time::sleep(RETRY_DELAY).await;
+                    self.crash_file.save_soon();
+                }
             }
-            time::sleep(SAVE_INTERVAL).await;
         }
     }
+
+    async fn write_crashes(&self) -> Result<(), String> {
+        let folder = Arc::clone(&self.crash_file.folder);
+        let content = saved_evidence(&self.crash_evidence.borrow());
+        let saved = off_thread::result("crashes", move || folder.save(FILE, &content)).await;
+        let outcome = saved.map(|result| result.map_err(|error| error.to_string()));
+        outcome.unwrap_or_else(|error| Err(error.to_string()))
+    }
 }
 
 fn restore(evidence: &mut CrashEvidence, saved: SavedEvidence) {
