--- a/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
+++ b/crates/anvillift-gateway/tests/testsuite/fake_upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream whose answers a test writes byte by byte.
 
+use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -42,6 +43,11 @@
         let _ = self.stream.write_all(text.as_bytes()).await;
     }
 
+    /// Sends bytes; fails once the gateway has closed the connection.
+    pub(crate) async fn try_send(&mut self, text: &str) -> io::Result<()> {
+        self.stream.write_all(text.as_bytes()).await
+    }
+
     /// Sends a complete answer with a JSON body.
     pub(crate) async fn respond(&mut self, status: u16, body: &str) {
         let length = body.len();
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod control_orders;
 mod control_timeout;
 mod end_to_end;
+mod endless_answers;
 mod fake_upstream;
 mod late_answers;
 mod leaving;
