--- a/crates/anvillift-gateway/tests/testsuite/planned_stop.rs
+++ b/crates/anvillift-gateway/tests/testsuite/planned_stop.rs
@@ -27,6 +27,10 @@
 /// A drain timeout that is shorter than [`LONG_TIME`], for which an upstream is silent.
 const SHORT_DRAIN_TIMEOUT_MS: u64 = 400;
 const LONG_TIME: Duration = Duration::from_secs(25);
+/// A drain timeout within which requests come late, and the times from the start of the stop to
+/// these, in milliseconds.
+const DRAIN_TIMEOUT_MS: u64 = 3_000;
+const LATE_TIMES_MS: [u64; 6] = [100, 600, 1_500, 2_500, 2_900, 3_100];
 /// Time for which the thread of a gateway is held up at once.
 const HOLD_UP_TIME: Duration = Duration::from_millis(10);
 
@@ -297,6 +301,63 @@
     stopping.await.expect("stopped");
 }
 
+/// Guards against requests that come late in the drain time on kept connections, are passed on to
+/// an upstream and end without an answer.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_late_in_the_drain_time_are_answered_or_not_passed_on(
+    #[values(HOST, "costa-sur-1")] asked: &str,
+) {
+    let change = |settings: &mut HostSettings| {
+        settings.timing.drain_timeout_ms = DRAIN_TIMEOUT_MS;
+    };
+    let mut cluster = Cluster::start_with(1, change).await;
+    let upstream =
+        FakeUpstream::start(&cluster, &[HOST], "p1", PLAIN, |request, mut responder| async move {
+            if request.path != FIRST_PATH {
+                time::sleep(LONG_TIME).await;
+            }
+            responder.respond(200, "\"served\"").await;
+            Some(responder)
+        })
+        .await;
+    cluster.wait_until_served(asked, &format!("/s/{PLAIN}{FIRST_PATH}")).await;
+    let mut kept = Vec::new();
+    for _ in 0..=LATE_TIMES_MS.len() {
+        let mut stream = connect(&cluster.url(asked)).await.expect("a connection");
+        stream.write_all(request(FIRST_PATH, 0).as_bytes()).await.expect("sent");
+        read_answer(&mut stream).await.expect("an answer");
+        kept.push(stream);
+    }
+    // The host does not exit while this is in flight.
+    let mut in_flight = kept.pop().expect("a kept connection");
+    in_flight.write_all(request("/pivots/long", 0).as_bytes()).await.expect("sent");
+    time::sleep(RUN_TIME).await;
+    let stopping = cluster.running.remove(HOST).expect("a host");
+    let stopping = tokio::spawn(stopping.drain());
+    let began_at = time::Instant::now();
+    let mut late = Vec::new();
+    for sent_after_ms in LATE_TIMES_MS {
+        time::sleep_until(began_at + Duration::from_millis(sent_after_ms)).await;
+        let path = format!("/pivots/late-{sent_after_ms}");
+        let mut stream = kept.pop().expect("a kept connection");
+        // It may be closed already.
+        stream.write_all(request(&path, 0).as_bytes()).await.ok();
+        late.push((path, tokio::spawn(async move { read_answer(&mut stream).await })));
+    }
+    for (path, answer) in late {
+        let answer = time::timeout(LONG_TIME / 2, answer).await.expect("in time");
+        let answer = answer.expect("an outcome");
+        let runs = upstream.received().iter().filter(|request| request.path == path).count();
+        match answer {
+            Some((status, text)) if runs == 0 => assert_eq!(status, 503, "{path}: {text}"),
+            Some((status, text)) => assert_eq!((status, runs), (502, 1), "{path}: {text}"),
+            None => assert_eq!(runs, 0, "{path} was passed on and has no answer"),
+        }
+    }
+    stopping.await.expect("stopped");
+}
+
 /// Guards against connections that the kernel resets since they are opened between the last one
 /// that the gateway accepts and the close of its listening socket.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
