--- a/crates/anvillift-gateway/tests/testsuite/endless_answers.rs
+++ b/crates/anvillift-gateway/tests/testsuite/endless_answers.rs
@@ -39,7 +39,7 @@
     ChunkLine,
     /// An event of a stream.
     Event,
-    /// A body.
+    /// JSON in a body without a length.
     Body,
 }
 
--- a/crates/anvillift-gateway/tests/testsuite/planned_stop.rs
+++ b/crates/anvillift-gateway/tests/testsuite/planned_stop.rs
@@ -57,6 +57,26 @@
     .await
 }
 
+/// Starts hosts with a drain timeout, and an upstream of [`HOST`] that is silent, but for requests
+/// of [`FIRST_PATH`]. Waits until the host that is asked knows it.
+async fn start_with_silent_upstream(drain_timeout_ms: u64, asked: &str) -> (Cluster, FakeUpstream) {
+    let change = |settings: &mut HostSettings| {
+        settings.timing.drain_timeout_ms = drain_timeout_ms;
+    };
+    let cluster = Cluster::start_with(1, change).await;
+    let upstream =
+        FakeUpstream::start(&cluster, &[HOST], "p1", PLAIN, |request, mut responder| async move {
+            if request.path != FIRST_PATH {
+                time::sleep(LONG_TIME).await;
+            }
+            responder.respond(200, "\"served\"").await;
+            Some(responder)
+        })
+        .await;
+    cluster.wait_until_served(asked, &format!("/s/{PLAIN}{FIRST_PATH}")).await;
+    (cluster, upstream)
+}
+
 /// A request whose body has this many bytes.
 fn request(path: &str, body_bytes: usize) -> String {
     let body = "x".repeat(body_bytes);
@@ -266,20 +286,7 @@
     #[values(HOST, "costa-sur-1")] asked: &str,
     #[values(true, false)] is_sent: bool,
 ) {
-    let change = |settings: &mut HostSettings| {
-        settings.timing.drain_timeout_ms = SHORT_DRAIN_TIMEOUT_MS;
-    };
-    let mut cluster = Cluster::start_with(1, change).await;
-    let upstream =
-        FakeUpstream::start(&cluster, &[HOST], "p1", PLAIN, |request, mut responder| async move {
-            if request.path != FIRST_PATH {
-                time::sleep(LONG_TIME).await;
-            }
-            responder.respond(200, "\"served\"").await;
-            Some(responder)
-        })
-        .await;
-    cluster.wait_until_served(asked, &format!("/s/{PLAIN}{FIRST_PATH}")).await;
+    let (mut cluster, upstream) = start_with_silent_upstream(SHORT_DRAIN_TIMEOUT_MS, asked).await;
     let mut stream = connect(&cluster.url(asked)).await.expect("a connection");
     let path = "/pivots/long";
     let request = request(path, 100);
@@ -308,20 +315,7 @@
 async fn requests_late_in_the_drain_time_are_answered_or_not_passed_on(
     #[values(HOST, "costa-sur-1")] asked: &str,
 ) {
-    let change = |settings: &mut HostSettings| {
-        settings.timing.drain_timeout_ms = DRAIN_TIMEOUT_MS;
-    };
-    let mut cluster = Cluster::start_with(1, change).await;
-    let upstream =
-        FakeUpstream::start(&cluster, &[HOST], "p1", PLAIN, |request, mut responder| async move {
-            if request.path != FIRST_PATH {
-                time::sleep(LONG_TIME).await;
-            }
-            responder.respond(200, "\"served\"").await;
-            Some(responder)
-        })
-        .await;
-    cluster.wait_until_served(asked, &format!("/s/{PLAIN}{FIRST_PATH}")).await;
+    let (mut cluster, upstream) = start_with_silent_upstream(DRAIN_TIMEOUT_MS, asked).await;
     let mut kept = Vec::new();
     for _ in 0..=LATE_TIMES_MS.len() {
         let mut stream = connect(&cluster.url(asked)).await.expect("a connection");
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -236,7 +236,7 @@
         }
         // After a storage fault the state machine is ahead of the replica until the log has been
         // replayed.
-        if self.performer.applied_index() != index {
+        if self.performer.applied_index() > index {
             return Ok(());
         }
         let Some(term) = self.replica.term_at(index) else { return Ok(()) };
