--- a/review/stand-ins-2/case_cold.rs
+++ b/review/stand-ins-2/case_cold.rs
@@ -54,6 +54,7 @@
             first_ms: 30,
             events: 0,
             gap_ms: 0,
+            ..WorkerPlan::default()
         };
         workers.start(&fleet, &plan, 1)?;
     }
--- a/review/stand-ins-2/case_cut.rs
+++ b/review/stand-ins-2/case_cut.rs
@@ -56,6 +56,7 @@
             first_ms: 60,
             events: 4,
             gap_ms: 40,
+            ..WorkerPlan::default()
         };
         workers.start(&fleet, &plan, 1)?;
     }
--- a/review/stand-ins-2/case_forward.rs
+++ b/review/stand-ins-2/case_forward.rs
@@ -52,6 +52,7 @@
             first_ms: 20,
             events: 0,
             gap_ms: 0,
+            ..WorkerPlan::default()
         };
         workers.start(&fleet, &plan, 1)?;
     }
--- a/review/stand-ins-2/case_quarantine.rs
+++ b/review/stand-ins-2/case_quarantine.rs
@@ -65,6 +65,7 @@
             first_ms: 250,
             events: 6,
             gap_ms: 150,
+            ..WorkerPlan::default()
         };
         workers.start(&fleet, &plan, 1)?;
         plans.push(plan);
@@ -80,6 +81,7 @@
             first_ms: 30,
             events: 0,
             gap_ms: 0,
+            ..WorkerPlan::default()
         };
         workers.start(&fleet, &plan, 1)?;
     }
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -391,6 +391,31 @@
     /// Events of a stream and the pause between them, in milliseconds.
     pub events: u64,
     pub gap_ms: u64,
+    /// Version of its software.
+    pub version: &'static str,
+    /// Whether it starts again under the id that it had.
+    pub keeps_id: bool,
+    /// Time by which its first status report comes late.
+    pub late_ms: u64,
+}
+
+impl Default for WorkerPlan {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            address: String::new(),
+            service: "mestre",
+            zone: "estrela-a",
+            slots: 16,
+            cold_ms: 0,
+            first_ms: 30,
+            events: 0,
+            gap_ms: 0,
+            version: "v1",
+            keeps_id: false,
+            late_ms: 0,
+        }
+    }
 }
 
 impl Workers {
@@ -401,7 +426,7 @@
         command
             .arg("worker")
             .args([
-                format!("{}-{boot}", plan.name),
+                if plan.keeps_id { plan.name.clone() } else { format!("{}-{boot}", plan.name) },
                 plan.address.clone(),
                 plan.service.to_owned(),
                 plan.zone.to_owned(),
@@ -410,9 +435,15 @@
             .arg(fleet.plan.heartbeat_ms.to_string())
             .arg(fleet.control_addresses())
             .arg(&log)
-            .arg(fleet.folder.join("cut"));
+            .arg(fleet.folder.join("cut"))
+            .args([plan.version.to_owned(), plan.late_ms.to_string()]);
         let process = Process::start(command, &fleet.folder.join(format!("{}.log", plan.name)))?;
-        record::line(&format!("start worker {} boot {boot} pid {}", plan.name, process.pid()));
+        record::line(&format!(
+            "start worker {} boot {boot} version {} pid {}",
+            plan.name,
+            plan.version,
+            process.pid()
+        ));
         self.processes.insert(plan.name.clone(), process);
         self.logs.insert(plan.name.clone(), log);
         Ok(())
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 mod case_cold;
 mod case_cut;
 mod case_quarantine;
+mod case_versions;
 mod fleet;
 mod http;
 mod record;
@@ -26,6 +27,7 @@
                 Some("quarantine") => case_quarantine::run(has_trouble),
                 Some("cut") => case_cut::run(has_trouble),
                 Some("forward") => case_forward::run(has_trouble),
+                Some("versions") => case_versions::run(has_trouble),
                 Some("cold") => case_cold::run(has_trouble),
                 _ => Err("unknown case".to_owned()),
             };
--- a/review/stand-ins-2/requester.rs
+++ b/review/stand-ins-2/requester.rs
@@ -47,6 +47,8 @@
     pub sent_ms: u64,
     pub outcome: String,
     pub is_served: bool,
+    /// Body of the answer, as far as it came.
+    pub body: String,
 }
 
 /// The requesters of one zone.
@@ -143,6 +145,9 @@
                 sent_ms,
                 outcome,
                 is_served,
+                body: answer.as_ref().map_or(String::new(), |answer| {
+                    String::from_utf8_lossy(&answer.body).into_owned()
+                }),
             };
             record::line_at(
                 ended_ms,
--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -34,6 +34,10 @@
     first_ms: u64,
     events: u64,
     gap_ms: u64,
+    /// Version of its software.
+    version: String,
+    /// Time by which its first status report comes late.
+    late_ms: u64,
     heartbeat_ms: u64,
     cores: Vec<SocketAddr>,
     /// File with the time until which the workers have turned cold, if they have.
@@ -56,6 +60,8 @@
         first_ms: number(6),
         events: number(7),
         gap_ms: number(8),
+        version: arguments[13].clone(),
+        late_ms: number(14),
         heartbeat_ms: number(9),
         cores: arguments[10].split(',').map(|text| text.parse().unwrap()).collect(),
         cold_file: Path::new(&arguments[12]).with_file_name("cold"),
@@ -85,16 +91,17 @@
     fn report(&self) {
         let born = unix_ms();
         let mut core = born as usize % self.cores.len();
+        thread::sleep(Duration::from_millis(self.late_ms));
         for sequence in 1.. {
             let later_ms = fs::read_to_string(&self.cold_file).ok().and_then(|it| it.parse().ok());
             let cold_until_ms = self.cold_until_ms.max(later_ms.unwrap_or(0));
             let cold_ms = cold_until_ms.saturating_sub(unix_ms());
             let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
                  \"state\":\"ready\",\"cold_remaining_ms\":{cold_ms},\"stage\":\"prefill_decode\",\
                  \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\
                  \"born\":{born}}}",
-                self.service, self.address, self.zone, self.slots
+                self.service, self.address, self.zone, self.version, self.slots
             );
             let target = format!("/-/instances/{}/heartbeat", self.id);
             let request = http::simple("POST", &target, &body);
@@ -179,8 +186,10 @@
                  Transfer-Encoding: chunked\r\n\r\n"
             );
             stream.write_all(head.as_bytes()).ok()?;
-            for event in 1..=self.events {
-                let text = format!("id: {event}\ndata: part {event} of {id}\n\n");
+            // A stream that is taken up goes on after the last event that came.
+            let last = request.header("Last-Event-Id").and_then(|text| text.parse::<u64>().ok());
+            for event in last.unwrap_or(0) + 1..=self.events {
+                let text = format!("id: {event}\ndata: {} part {event} of {id}\n\n", self.version);
                 let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                 stream.write_all(chunk.as_bytes()).ok()?;
                 thread::sleep(Duration::from_millis(self.gap_ms));
