Review case 10: a worker that has left gets requests again

Cause: the leave of a worker whose service the configuration does not list is acknowledged and dropped. Done: a script with three configurations and a leave between the last two; no disturbance. Case 8 now has a route without homes beside the one with a home, and more workers.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,4 +5,4 @@
 TROUBLE="${TROUBLE:-1}"
 export TROUBLE
 [ -x target/review-2/stand-ins ] && [ -x target/release/anvillift-platform ] || exit 2
-exec target/review-2/stand-ins case cold review/10
+exec target/review-2/stand-ins case drain review/10
--- a/review/stand-ins-2/case_cold.rs
+++ b/review/stand-ins-2/case_cold.rs
@@ -21,6 +21,8 @@
 const PER_S: u64 = 300;
 /// Time for which the workers are cold, in milliseconds.
 const COLD_MS: u64 = 3_000;
+/// Requests that three hosts together send to three cold workers at first.
+const FIRST_REQUESTS: usize = 36;
 /// Time after which the platform starts a killed process again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -75,7 +77,7 @@
     order(&fleet, "end")?;
     let back_ms = record::unix_ms();
     if has_trouble {
-        thread::sleep(Duration::from_millis(150));
+        wait_for_first_requests(&workers, back_ms);
         for index in [0, 1] {
             if let Some(mut process) = fleet.entries[index].process.take() {
                 process.kill();
@@ -125,6 +127,18 @@
     Ok(!is_broken)
 }
 
+/// Waits until the cold workers have got what the hosts send at first, or 300 ms.
+fn wait_for_first_requests(workers: &Workers, back_ms: u64) {
+    while record::unix_ms() < back_ms + 300 {
+        let runs = workers.runs();
+        let got = runs.iter().filter(|(at_ms, _, words)| *at_ms >= back_ms && words[0] == "got");
+        if got.count() >= FIRST_REQUESTS {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Sends an order about the zone until it is acknowledged.
 fn order(fleet: &Fleet, word: &str) -> Result<(), String> {
     let target = format!("/-/evacuation/estrela-a/{word}");
--- a/review/stand-ins-2/case_cut.rs
+++ b/review/stand-ins-2/case_cut.rs
@@ -26,7 +26,7 @@
     \"session_affinity\":true,\"resumable\":true,\"gap_target_ms\":300,\"home_regions\":[\"serra-norte\"]},\
     {\"name\":\"r-reading\",\"host\":\"app.example\",\"path_prefix\":\"/reading/\",\"kind\":\"idempotent\",\
     \"timeout_ms\":4000,\"target_latency_ms\":400,\"priority\":2,\"service\":\"mestre\",\"attempts\":2,\
-    \"home_regions\":[\"serra-norte\"]}],\
+    \"home_regions\":[]}],\
     \"services\":[{\"name\":\"mestre\",\"health_check_path\":\"/health\",\"connection_limit\":160,\
     \"protocol\":\"h1\",\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0,\
     \"engine\":{\"slots\":16,\"kv_capacity_tokens\":340536}}],\
@@ -43,9 +43,8 @@
     fleet.start()?;
     fleet.configure(CONFIGURATION, Duration::from_secs(15))?;
     let mut workers = Workers::default();
-    for (number, zone) in
-        ["estrela-a", "estrela-a", "estrela-b", "estrela-b", "viseu-b", "viseu-b"].iter().enumerate()
-    {
+    let zones = [["estrela-a"; 4], ["estrela-b"; 4], ["viseu-b"; 4]].concat();
+    for (number, zone) in zones.into_iter().enumerate() {
         let plan = WorkerPlan {
             name: format!("mestre-{number}"),
             address: fleet.worker_address(number),
@@ -94,6 +93,11 @@
         *all += 1;
         *served += u32::from(it.is_served);
     }
+    for kind in ["dossier", "reading"] {
+        let of_kind = tries.iter().filter(counted).filter(|it| it.kind == kind && it.address == cut_address);
+        let (all, served) = of_kind.fold((0, 0), |(all, served), it| (all + 1, served + u32::from(it.is_served)));
+        record::line(&format!("at the machine that is cut off, on the route of {kind}: {all} first tries, {served} served"));
+    }
     let mut others = (0, 0);
     let mut at_cut = (0, 0);
     for (address, (all, served)) in &counts {
@@ -116,7 +120,7 @@
     Ok(!is_broken)
 }
 
-/// 30 requests a second from the region with the cut.
+/// 12 requests a second from the region with the cut, half of them on each route.
 fn start_traffic(fleet: &Fleet, tries: &Arc<Mutex<Vec<Try>>>, ends: &Arc<AtomicBool>) {
     let dossier = Kind {
         name: "dossier",
@@ -143,10 +147,10 @@
     thread::spawn(move || {
         let mut turn = 0_usize;
         while !ends.load(Ordering::Relaxed) {
-            let kind = if turn % 3 == 2 { &reading } else { &dossier };
+            let kind = if turn / 2 % 2 == 1 { &reading } else { &dossier };
             requesters[turn % requesters.len()].send(kind);
             turn += 1;
-            thread::sleep(Duration::from_millis(33));
+            thread::sleep(Duration::from_millis(83));
         }
     });
 }
--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -452,7 +452,7 @@
     pub fn kill(&mut self, name: &str) {
         if let Some(mut process) = self.processes.remove(name) {
             process.kill();
-            record::line(&format!("worker {name} has crashed"));
+            record::line(&format!("worker {name} has ended"));
         }
     }
 
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod case_forward;
 mod case_cold;
 mod case_cut;
+mod case_drain;
 mod case_quarantine;
 mod case_versions;
 mod fleet;
@@ -28,6 +29,7 @@
                 Some("cut") => case_cut::run(has_trouble),
                 Some("forward") => case_forward::run(has_trouble),
                 Some("versions") => case_versions::run(has_trouble),
+                Some("drain") => case_drain::run(has_trouble),
                 Some("cold") => case_cold::run(has_trouble),
                 _ => Err("unknown case".to_owned()),
             };
--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -2,7 +2,8 @@
 //! what is for another instance, and writes what it got to a file.
 //!
 //! While the file `cut` names process ids, channels from these processes are reset, as when the
-//! machines of these processes are partitioned from all workers.
+//! machines of these processes are partitioned from all workers. The worker that the file `leaving`
+//! names sends no more reports.
 
 use std::collections::BTreeSet;
 use std::ffi::c_void;
@@ -93,6 +94,10 @@
         let mut core = born as usize % self.cores.len();
         thread::sleep(Duration::from_millis(self.late_ms));
         for sequence in 1.. {
+            let leaving = fs::read_to_string(self.cold_file.with_file_name("leaving"));
+            if leaving.is_ok_and(|id| id == self.id) {
+                return;
+            }
             let later_ms = fs::read_to_string(&self.cold_file).ok().and_then(|it| it.parse().ok());
             let cold_until_ms = self.cold_until_ms.max(later_ms.unwrap_or(0));
             let cold_ms = cold_until_ms.saturating_sub(unix_ms());
