--- a/review/stand-ins-2/case_cut.rs
+++ b/review/stand-ins-2/case_cut.rs
@@ -1,4 +1,4 @@
-//! One of two front machines of a region is partitioned from all workers for 14 s, while
+//! One of two front machines of a region is partitioned from all workers for 9 s, while
 //! requesters and the other machines still reach it.
 
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
     [("estrela-a", "serra-norte"), ("estrela-b", "serra-norte"), ("viseu-b", "beira-centro")];
 /// `connectivity_window_ms` of the bounds.
 const WINDOW_MS: u64 = 5_000;
-const CUT_MS: u64 = 14_000;
+const CUT_MS: u64 = 9_000;
 
 const CONFIGURATION: &str = "{\"version\":3,\"routes\":[\
     {\"name\":\"r-dossier\",\"host\":\"app.example\",\"path_prefix\":\"/dossier/\",\"kind\":\"streaming\",\
@@ -70,7 +70,7 @@
     let cut_file = fleet.folder.join("cut");
     if has_trouble {
         fs::write(&cut_file, cut_pid.to_string()).map_err(|error| error.to_string())?;
-        record::line("the front machine entry-estrela-a-1 is partitioned from all workers, for 14 s");
+        record::line("the front machine entry-estrela-a-1 is partitioned from all workers, for 9 s");
     }
     let began_ms = record::unix_ms();
     thread::sleep(Duration::from_millis(CUT_MS));
@@ -120,7 +120,7 @@
     Ok(!is_broken)
 }
 
-/// 12 requests a second from the region with the cut, half of them on each route.
+/// 20 requests a second from the region with the cut, half of them on each route.
 fn start_traffic(fleet: &Fleet, tries: &Arc<Mutex<Vec<Try>>>, ends: &Arc<AtomicBool>) {
     let dossier = Kind {
         name: "dossier",
@@ -150,7 +150,7 @@
             let kind = if turn / 2 % 2 == 1 { &reading } else { &dossier };
             requesters[turn % requesters.len()].send(kind);
             turn += 1;
-            thread::sleep(Duration::from_millis(83));
+            thread::sleep(Duration::from_millis(50));
         }
     });
 }
