--- a/crates/anvillift-fleet/src/control_machine.rs
+++ b/crates/anvillift-fleet/src/control_machine.rs
@@ -2,13 +2,17 @@
 //!
 //! The configuration is a register in which the highest version wins; a command
 //! with an equal or lower version changes nothing. Evacuations form a set of data
-//! centres. Commands are applied in log order, so all replicas reach the same
-//! state.
+//! centres. Trials of quarantined requests are counted for each set of features.
+//! Commands are applied in log order, so all replicas reach the same state.
 
 use anvillift_schema::fleet::{
-    EvacuateDataCentre, FleetCommand, FleetControl, ReplaceConfiguration,
+    EvacuateDataCentre, FleetCommand, FleetControl, FleetTrialRecord, GrantTrial,
+    ReleaseQuarantine, ReplaceConfiguration,
 };
 
+/// Most sets of features whose trials are kept; the one that changed first is forgotten first.
+const MAX_TRIAL_RECORDS: usize = 256;
+
 /// Effect of a command.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
 pub enum Outcome {
@@ -19,6 +23,9 @@
     /// had this status.
     #[display("unchanged")]
     Unchanged,
+    /// A trial was granted, which concerns core hosts only.
+    #[display("granted")]
+    Granted,
     /// The command could not be decoded.
     #[display("unreadable")]
     Unreadable,
@@ -37,6 +44,7 @@
             version: 0,
             document: Vec::new().into(),
             evacuated: Vec::new(),
+            trials: Vec::new(),
         };
         Self { state }
     }
@@ -53,6 +61,8 @@
         let outcome = match ciborium::from_reader::<FleetCommand, _>(command) {
             Ok(FleetCommand::Replace(replace)) => self.replace(replace),
             Ok(FleetCommand::Evacuate(evacuate)) => self.evacuate(evacuate),
+            Ok(FleetCommand::GrantTrial(grant)) => self.grant_trial(grant),
+            Ok(FleetCommand::ReleaseQuarantine(release)) => self.release_quarantine(release),
             Err(_) => Outcome::Unreadable,
         };
         if outcome == Outcome::Changed {
@@ -101,4 +111,39 @@
         }
         Outcome::Changed
     }
+
+    fn grant_trial(&mut self, grant: GrantTrial) -> Outcome {
+        let record = self.trial_record(&grant.parts);
+        if grant.number != record.granted + 1 {
+            return Outcome::Unchanged;
+        }
+        self.put_trial_record(FleetTrialRecord { granted: grant.number, ..record });
+        Outcome::Granted
+    }
+
+    fn release_quarantine(&mut self, release: ReleaseQuarantine) -> Outcome {
+        let record = self.trial_record(&release.parts);
+        if release.finding != record.released {
+            return Outcome::Unchanged;
+        }
+        let released = record.released + 1;
+        self.put_trial_record(FleetTrialRecord { granted: 0, released, ..record });
+        Outcome::Changed
+    }
+
+    /// The trials of a set of features, which is in ascending order.
+    pub fn trial_record(&self, parts: &[u64]) -> FleetTrialRecord {
+        let known = self.state.trials.iter().find(|record| record.parts == parts);
+        let new = || FleetTrialRecord { parts: parts.to_vec(), granted: 0, released: 0 };
+        known.cloned().unwrap_or_else(new)
+    }
+
+    fn put_trial_record(&mut self, record: FleetTrialRecord) {
+        let records = &mut self.state.trials;
+        records.retain(|other| other.parts != record.parts);
+        records.push(record);
+        if records.len() > MAX_TRIAL_RECORDS {
+            records.remove(0);
+        }
+    }
 }
--- a/crates/anvillift-fleet/src/crash.rs
+++ b/crates/anvillift-fleet/src/crash.rs
@@ -10,6 +10,8 @@
 /// Time between two crashes of a worker from which on they are distinct, also if no report
 /// has told of the start between them, in milliseconds.
 const DISTINCT_CRASHES_MS: u64 = 1_000;
+/// Longest time between crashes of several workers at one moment, in milliseconds.
+const SIMULTANEOUS_MS: u64 = 1_000;
 /// Longest time between a crash and the moment in which requests that were in flight there are
 /// given up, in milliseconds.
 const GIVEN_UP_AFTER_MS: u64 = 15_000;
@@ -66,6 +68,11 @@
         self.at_ms.abs_diff(other.at_ms)
     }
 
+    /// Whether another worker crashed at the same moment.
+    pub(crate) fn is_simultaneous(&self, other: &Self) -> bool {
+        self.worker.id != other.worker.id && self.at_ms.abs_diff(other.at_ms) < SIMULTANEOUS_MS
+    }
+
     /// Adds what a further report tells of the crash. Returns whether it names a request that
     /// was unknown.
     pub(crate) fn merge(&mut self, now_ms: u64, other: ConfirmedCrash) -> bool {
--- a/crates/anvillift-fleet/src/crash_evidence.rs
+++ b/crates/anvillift-fleet/src/crash_evidence.rs
@@ -186,6 +186,25 @@
         sets.into_iter().map(|set| Verdict { features: set.clone(), duration_ms }).collect()
     }
 
+    /// Time of the last crash at which a request with all of some features was in flight, in
+    /// milliseconds.
+    pub fn last_crash_ms(&self, features: &BTreeSet<u64>) -> Option<u64> {
+        self.crashes_with(features).map(|crash| crash.at_ms).max()
+    }
+
+    /// Time of the last such crash within whose instant no other worker crashed.
+    pub fn last_lone_crash_ms(&self, features: &BTreeSet<u64>) -> Option<u64> {
+        let is_lone =
+            |crash: &&Crash| !self.crashes.iter().any(|other| other.is_simultaneous(crash));
+        self.crashes_with(features).filter(is_lone).map(|crash| crash.at_ms).max()
+    }
+
+    fn crashes_with<'a>(&'a self, features: &'a BTreeSet<u64>) -> impl Iterator<Item = &'a Crash> {
+        let has_all =
+            |crash: &&Crash| crash.requests.iter().any(|request| request.contains_all(features));
+        self.crashes.iter().filter(has_all)
+    }
+
     /// Forgets old crashes, and what is known of features that are in no crash any more.
     pub fn remove_old(&mut self, now_ms: u64) {
         self.crashes.retain(|crash| crash.at_ms + EVIDENCE_MS >= now_ms);
--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -25,6 +25,7 @@
         shares_quarantine: true,
         cpu_millicores: None,
         shares_quotas: true,
+        shares_trials: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -26,6 +26,7 @@
         shares_quarantine: true,
         cpu_millicores: None,
         shares_quotas: true,
+        shares_trials: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod notices;
 mod overload;
 mod prefixes;
+mod quarantine_trials;
 mod quota_simulation;
 mod quotas;
 mod region_contact;
--- a/crates/anvillift-fleet/tests/testsuite/region_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/region_contact.rs
@@ -30,6 +30,7 @@
         shares_quarantine: true,
         cpu_millicores: None,
         shares_quotas: true,
+        shares_trials: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
@@ -47,6 +47,7 @@
         shares_quarantine: true,
         cpu_millicores: None,
         shares_quotas: true,
+        shares_trials: true,
     }
 }
 
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -9,14 +9,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use anvillift_consensus::RoleKind;
-use anvillift_fleet::{ControlMachine, seed};
+use anvillift_fleet::{ControlMachine, Outcome, seed};
 use anvillift_replication::{
     GroupDriver, GroupDriverSettings, GroupHandle, GroupMachine, GroupStatus, GroupTiming,
     MembershipError, OpenedGroup, ProposeError, StorageOpener,
 };
 use anvillift_schema::consensus::{ConsensusEnvelope, Voter};
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{FleetCommand, FleetControl, FleetFrame};
+use anvillift_schema::fleet::{
+    FleetCommand, FleetControl, FleetFrame, FleetTrialRecord, GrantTrial,
+};
 use anvillift_schema::name::Name;
 use anvillift_storage::{DataFolder, StorageIo};
 use snafu::ResultExt;
@@ -47,6 +49,9 @@
     lease_reads: false,
 };
 
+/// Answer of the state machine to a command by which a trial was granted.
+const TRIAL_GRANTED: u8 = 1;
+
 type Outgoing = (Name, ConsensusEnvelope);
 
 /// Replica of the control log.
@@ -99,10 +104,26 @@
     /// Proposes a command and waits until it is committed. Fails if this replica
     /// is not the leader.
     pub(crate) async fn propose(&self, command: &FleetCommand) -> Result<(), ProposeError> {
+        self.propose_and_apply(command).await.map(|_| ())
+    }
+
+    /// Proposes a trial and waits until it is committed. Returns whether it was granted: another
+    /// leader may have granted the same one before.
+    pub(crate) async fn propose_trial(&self, grant: GrantTrial) -> Result<bool, ProposeError> {
+        let answer = self.propose_and_apply(&FleetCommand::GrantTrial(grant)).await?;
+        Ok(answer == [TRIAL_GRANTED])
+    }
+
+    async fn propose_and_apply(&self, command: &FleetCommand) -> Result<Vec<u8>, ProposeError> {
         let mut bytes = Vec::new();
         // Writing to a vector can't fail.
         ciborium::into_writer(command, &mut bytes).ok();
-        self.group.propose(bytes).await.map(|_| ())
+        self.group.propose(bytes).await
+    }
+
+    /// The trials of a set of quarantined features after the last command applied here.
+    pub(crate) fn trial_record(&self, parts: &[u64]) -> FleetTrialRecord {
+        lock(&self.machine).trial_record(parts)
     }
 
     /// Waits until the local state includes every command acknowledged so far.
@@ -195,7 +216,8 @@
                 "control command applied: {outcome}"
             );
             after_apply.send_replace(index);
-            Vec::new()
+            // The answer to the host that proposed the command.
+            if outcome == Outcome::Granted { vec![TRIAL_GRANTED] } else { Vec::new() }
         }),
         snapshot: Box::new(move || lock(&saved).snapshot()),
         restore: Box::new(move |bytes| {
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -5,7 +5,8 @@
 //! reports to the other hosts; [`control_log`] runs the replica; [`gossip`] sends
 //! host lists, region loads and control versions, and changes the voters; [`streams`]
 //! remembers which version began a stream; [`crashes`] finds parts of prompts that crash
-//! workers, and [`saved_crashes`] and [`saved_quarantine`] keep what they know across restarts;
+//! workers, [`saved_crashes`] and [`saved_quarantine`] keep what they know across restarts, and
+//! [`trials`] lets one of the refused requests be tried;
 //! [`quota`] grants hosts amounts of the quotas of teams.
 
 mod calls;
@@ -17,13 +18,16 @@
 mod saved_crashes;
 mod saved_quarantine;
 mod streams;
+mod trials;
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anvillift_fleet::{ControlMachine, CrashEvidence, UnansweredQueries, WorkerWeights};
+use anvillift_fleet::{
+    ControlMachine, CrashEvidence, QuarantineTrials, UnansweredQueries, WorkerWeights,
+};
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{FleetControl, FleetFrame, FleetHostState};
@@ -70,6 +74,8 @@
     crash_evidence: RefCell<CrashEvidence>,
     crash_file: SavedCrashes,
     quarantine_file: SavedQuarantine,
+    /// Trials of quarantined requests that this host has granted.
+    trials: RefCell<QuarantineTrials>,
     quotas: RefCell<OwnedQuotas>,
     /// Queries about streams of which there was no record.
     unanswered: RefCell<UnansweredQueries>,
@@ -97,6 +103,7 @@
             crash_evidence: RefCell::new(crash_file.load()),
             crash_file,
             quarantine_file,
+            trials: RefCell::default(),
             quotas: RefCell::default(),
             unanswered: RefCell::default(),
             weights: RefCell::default(),
@@ -143,7 +150,7 @@
         Ok(())
     }
 
-    fn on_frame(&self, from: &Name, frame: FleetFrame) {
+    fn on_frame(self: &Rc<Self>, from: &Name, frame: FleetFrame) {
         match frame {
             FleetFrame::Hello(host) => {
                 self.node.send_quarantine(&host);
@@ -181,6 +188,7 @@
             FleetFrame::Crashes(crashes) => self.on_crashes(from, crashes),
             FleetFrame::PartsServed(served) => self.on_parts_served(&served),
             FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
+            FleetFrame::Trial(trial) => self.on_trial(from, trial),
             FleetFrame::QuotaWanted(wanted) => self.on_quota_wanted(from, &wanted),
             // A core host takes the control state from its log and sums up the loads
             // itself.
@@ -210,6 +218,7 @@
             self.update_quotas();
             if ticks.is_multiple_of(CLEANUP_TICKS) {
                 self.remove_old_crashes();
+                self.remove_old_trials();
                 self.unanswered.borrow_mut().remove_old(clock::now_ms());
             }
             self.send_hosts_to_cores(ticks);
--- a/crates/anvillift-node/src/core/saved_quarantine.rs
+++ b/crates/anvillift-node/src/core/saved_quarantine.rs
@@ -19,6 +19,7 @@
 
 use crate::core::Core;
 use crate::node::Node;
+use crate::quarantine::quarantine_frame;
 use crate::{clock, off_thread};
 
 /// Name of the file in the data folder.
@@ -97,11 +98,7 @@
 
     fn saved_entries(&self) -> SavedEntries {
         let view = self.node.view.borrow();
-        let entry = |(features, remaining_ms): (&BTreeSet<u64>, u64)| FleetQuarantine {
-            parts: features.iter().copied().collect(),
-            remaining_ms,
-        };
-        let entries = view.quarantine.iter(clock::now_ms()).map(entry).collect();
+        let entries = view.quarantine.entries(clock::now_ms()).map(quarantine_frame).collect();
         SavedEntries { saved_unix_ms: clock::unix_ms(), entries }
     }
 }
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -18,6 +18,7 @@
 use crate::entry::Entry;
 use crate::entry::attempt::{
     CALLER_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, STREAM_VERSION_HEADER, TEAM_HEADER,
+    TRIAL_HEADER,
 };
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
@@ -78,6 +79,7 @@
         let resumes = head.headers.get(names.resumes).map(Name::from);
         let affinity_key = self.affinity_key(&view, &service, &prompt, origin);
         let minor_version = head.minor_version;
+        let is_trial = origin == Origin::Host && head.headers.contains(TRIAL_HEADER);
         self.strip_headers(&mut head, !configuration.teams.is_empty());
         served.set_progress(RequestProgress::NotRun);
         Ok(Request {
@@ -102,6 +104,7 @@
             minor_version,
             version: configuration.version,
             is_demand_counted: Cell::new(false),
+            is_trial: Cell::new(is_trial),
         })
     }
 
@@ -151,6 +154,7 @@
             CALLER_HEADER,
             TEAM_HEADER,
             STREAM_VERSION_HEADER,
+            TRIAL_HEADER,
         ];
         let framing = ["content-length", "expect", NOT_RUN_HEADER];
         head.headers.retain(|name| {
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -41,6 +41,9 @@
 /// Header field of a forwarded request with the identity of its caller.
 pub(crate) const CALLER_HEADER: &str = "Anvillift-Caller";
 
+/// Header field of a forwarded request that is a trial although it is quarantined.
+pub(crate) const TRIAL_HEADER: &str = "Anvillift-Trial";
+
 /// A response whose head has been read, with the connection that carries the body.
 pub(crate) struct StartedResponse {
     pub(crate) lease: Lease,
@@ -254,6 +257,9 @@
             if let Some(team) = &request.team {
                 head.headers.push(TEAM_HEADER, team.name.to_string());
             }
+            if request.is_trial.get() {
+                head.headers.push(TRIAL_HEADER, "1");
+            }
             if let Some(version) = &target.version {
                 head.headers.push(STREAM_VERSION_HEADER, version.to_string());
             }
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -22,6 +22,7 @@
 
 use crate::clock;
 use crate::entry::Entry;
+use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
@@ -82,12 +83,21 @@
             let mut dispatch = self.dispatch.borrow_mut();
             dispatch.served_features.record(clock::now_ms(), &request.features);
             dispatch.suspected_features.clear(&request.features);
+            drop(dispatch);
+            if request.is_trial.get() && request.origin == Origin::Caller {
+                self.record_trial_served(request);
+            }
         }
     }
 
     /// Whether a request was in flight at several crashes, so that it may be their cause.
     pub(super) fn is_suspected(&self, request: &Request) -> bool {
-        self.dispatch.borrow().suspected_features.contains(clock::now_ms(), &request.features)
+        request.is_trial.get()
+            || self
+                .dispatch
+                .borrow()
+                .suspected_features
+                .contains(clock::now_ms(), &request.features)
     }
 
     /// Checks the workers whose answers broke off, and reports those that have crashed.
@@ -270,6 +280,9 @@
 
     /// The answer to a request that crashes workers.
     pub(super) fn quarantine_refusal(&self, request: &Request) -> Option<RequestFailure> {
+        if request.is_trial.get() {
+            return None;
+        }
         let view = self.node.view.borrow();
         let remaining_ms = view.quarantine.remaining_ms(clock::now_ms(), &request.features)?;
         metrics::counter!("anvillift_rejected_for_quarantine_total").increment(1);
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -32,6 +32,7 @@
     ) -> ConnectionAction {
         let mut attempts = Attempts::of(request);
         let mut counted: Option<CountedQuota<'_>> = None;
+        let mut permit = self.begin_trial(request);
         loop {
             let Some(mut target) = self.next_target(request, &attempts) else {
                 let end = if attempts.run_count > 0 {
@@ -82,6 +83,9 @@
             if !is_unsent && let Some(counted) = &mut counted {
                 counted.keep();
             }
+            if !is_unsent && let Some(permit) = &mut permit {
+                permit.keep();
+            }
             match outcome {
                 AttemptOutcome::CallerLeft => {
                     self.record_unanswered(request, &started.target, started.began_ms);
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -52,6 +52,7 @@
             FleetFrame::StreamKnown(answer) => self.on_stream_answer(from, answer),
             FleetFrame::PartsWanted(wanted) => self.answer_parts_wanted(from, &wanted),
             FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
+            FleetFrame::Trial(trial) => self.on_trial_granted(trial),
             FleetFrame::QuotaGranted(granted) => self.on_quota_granted(from, &granted),
             FleetFrame::Consensus(_)
             | FleetFrame::Crashes(_)
--- a/crates/anvillift-node/src/entry/housekeeping.rs
+++ b/crates/anvillift-node/src/entry/housekeeping.rs
@@ -62,6 +62,7 @@
             }
             self.node.refresh_own_entry();
             self.update_crashes();
+            self.update_trials();
             ticks += 1;
             if ticks.is_multiple_of(CLEANUP_TICKS) {
                 let mut view = self.node.view.borrow_mut();
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -8,7 +8,8 @@
 //! their answers. [`relay`] streams the response to the caller, and [`resume`] continues a broken
 //! stream at another worker of its version. A request that resumes a stream goes to the version
 //! that [`stream_lookup`] finds, in what [`stream_version`] has recorded here or told to cores.
-//! [`crashes`] finds out which prompts were in flight at workers that crash. [`planned_stop`] lets
+//! [`crashes`] finds out which prompts were in flight at workers that crash, and [`trials`] sends
+//! one of those that are refused for it again. [`planned_stop`] lets
 //! requests end, or ends them. The policies behind these decisions are in `anvillift-fleet`.
 
 mod admit;
@@ -53,6 +54,7 @@
 mod target_reason;
 mod team;
 mod team_shares;
+mod trials;
 mod upstream_response;
 mod wait;
 mod worker_speeds;
@@ -76,6 +78,7 @@
 use crate::entry::served_request::ServedRequests;
 use crate::entry::stream_lookups::StreamLookups;
 use crate::entry::team_shares::TeamSharing;
+use crate::entry::trials::EntryTrials;
 use crate::error::NodeError;
 use crate::hub::{Hub, HubHooks};
 use crate::log_budget::LogBudget;
@@ -109,6 +112,8 @@
     /// Crashes that this host has confirmed. It tells cores of them, and decides by them while it
     /// hears no core.
     crash_evidence: RefCell<CrashEvidence>,
+    /// Trials of quarantined requests at this host.
+    trials: RefCell<EntryTrials>,
     /// Wakes the task that checks workers for crashes.
     crash_check_due: Notify,
     /// Quotas of teams.
@@ -161,6 +166,7 @@
             announcement_due: Notify::new(),
             broken: RefCell::default(),
             crash_evidence: RefCell::default(),
+            trials: RefCell::default(),
             crash_check_due: Notify::new(),
             quotas: Quotas::new(&own_host.name),
             call_rejection_lines: calls::rejection_lines(),
--- a/crates/anvillift-node/src/entry/request.rs
+++ b/crates/anvillift-node/src/entry/request.rs
@@ -62,6 +62,8 @@
     /// Whether the demand of its team contains the request. The check for overload is repeated
     /// after a wait for a grant.
     pub(crate) is_demand_counted: Cell<bool>,
+    /// Whether it is sent as a trial though it is quarantined.
+    pub(crate) is_trial: Cell<bool>,
 }
 
 impl Request {
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -54,7 +54,9 @@
     /// host can take it.
     pub(crate) fn next_target(&self, request: &Request, attempts: &Attempts) -> Option<Target> {
         let view = self.node.view.borrow();
-        if view.quarantine.remaining_ms(clock::now_ms(), &request.features).is_some() {
+        if !request.is_trial.get()
+            && view.quarantine.remaining_ms(clock::now_ms(), &request.features).is_some()
+        {
             return None;
         }
         let is_allowed_here = request.allows_region(&self.node.settings.region);
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -91,6 +91,7 @@
             shares_quarantine: true,
             cpu_millicores: settings.cpu_millicores,
             shares_quotas: true,
+            shares_trials: true,
         };
         let mut hosts = HostTable::new(table_settings);
         hosts.merge(clock::now_ms(), own_host.clone(), true);
--- a/crates/anvillift-node/src/node_control.rs
+++ b/crates/anvillift-node/src/node_control.rs
@@ -120,6 +120,7 @@
         let version = control.version.max(view.control.version);
         view.control = FleetControl { version, document: Payload::default(), ..control };
         drop(view);
+        self.release_quarantine();
         free(replaced);
         self.call_on_control_applied();
     }
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -95,6 +95,10 @@
     RequestTooLate = 2733, "info", "A request was rejected because it could not begin before its deadline";
     RetryDecided = 2734, "info", "A retry was allowed or refused by the retry budget";
     QuarantineNotSaved = 2735, "error", "The quarantine, or the crashes of workers, could not be saved or loaded";
+    TrialGranted = 2736, "info", "A trial of a quarantined request was granted, or could not be";
+    TrialSent = 2737, "info", "A quarantined request is sent to a worker as a trial";
+    TrialServed = 2738, "info", "A trial of a quarantined request was served";
+    QuarantineReleased = 2739, "warn", "Requests that were refused as crashing workers are sent again";
 }
 
 impl Event {
