--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -26,6 +26,7 @@
         cpu_millicores: None,
         shares_quotas: true,
         shares_trials: true,
+        takes_leaves: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/directory.rs
+++ b/crates/anvillift-fleet/tests/testsuite/directory.rs
@@ -27,6 +27,7 @@
         cpu_millicores: None,
         shares_quotas: true,
         shares_trials: true,
+        takes_leaves: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/region_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/region_contact.rs
@@ -31,6 +31,7 @@
         cpu_millicores: None,
         shares_quotas: true,
         shares_trials: true,
+        takes_leaves: true,
     }
 }
 
--- a/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
@@ -48,6 +48,7 @@
         cpu_millicores: None,
         shares_quotas: true,
         shares_trials: true,
+        takes_leaves: true,
     }
 }
 
--- a/crates/anvillift-node/src/core/calls.rs
+++ b/crates/anvillift-node/src/core/calls.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::core::Core;
+use crate::core::departures::Effect;
 use crate::dialect::{CallError, ControlCall};
 use crate::off_thread::LARGE_BYTES;
 use crate::respond::Reply;
@@ -55,12 +56,12 @@
     async fn perform(&self, call: ControlCall, head: &RequestHead, body: Bytes) -> Reply {
         match call {
             ControlCall::Report(report) => {
-                self.on_report(report).await;
-                Reply::new(200, b"{}".to_vec())
+                let effect = self.on_report(report).await;
+                self.acknowledge(effect)
             }
             ControlCall::Leave { worker } => {
-                self.on_leave(&worker).await;
-                Reply::new(200, b"{}".to_vec())
+                let effect = self.on_leave(&worker).await;
+                self.acknowledge(effect)
             }
             ControlCall::Replace { version } => {
                 if version <= self.log.version() {
@@ -89,6 +90,14 @@
         }
     }
 
+    /// Acknowledges the call of a worker that is in effect.
+    fn acknowledge(&self, effect: Effect) -> Reply {
+        match effect {
+            Effect::InEffect => Reply::new(200, b"{}".to_vec()),
+            Effect::NotInEffect(reason) => self.retry_later_reply(Code::ReportNotInEffect, reason),
+        }
+    }
+
     async fn commit(&self, head: &RequestHead, command: FleetCommand) -> Reply {
         match time::timeout(COMMIT_TIMEOUT, self.log.propose(&command)).await {
             Ok(Ok(())) => Reply::new(200, b"{}".to_vec()),
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -47,6 +47,7 @@
         let heard = view.workers.iter().filter(|entry| !entry.awaits_report);
         let reports = heard.map(|entry| entry.to_report(now_ms, interval_ms));
         frames.extend(reports.map(FleetFrame::Worker));
+        frames.extend(self.recent_leaves_for(name));
         let published = self.published.borrow();
         if published.index > 0 {
             frames.push(control_version_frame(&published));
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -2,7 +2,7 @@
 //! and a directory.
 //!
 //! [`calls`] answers operators, workers and callers; [`reports`] relays workers'
-//! reports to the other hosts; [`control_log`] runs the replica; [`gossip`] sends
+//! reports to the other hosts, and [`departures`] those of workers that drain or leave; [`control_log`] runs the replica; [`gossip`] sends
 //! host lists, region loads and control versions, and changes the voters; [`streams`]
 //! remembers which version began a stream; [`crashes`] finds parts of prompts that crash
 //! workers, [`saved_crashes`] and [`saved_quarantine`] keep what they know across restarts, and
@@ -12,6 +12,7 @@
 mod calls;
 mod control_log;
 mod crashes;
+mod departures;
 mod gossip;
 mod quota;
 mod reports;
@@ -38,9 +39,9 @@
 use tokio::{task, time};
 
 use crate::core::control_log::ControlLog;
+use crate::core::departures::Departures;
+pub(crate) use crate::core::departures::{confirmation_frame, leave_confirmation};
 use crate::core::quota::OwnedQuotas;
-use crate::core::reports::PendingReports;
-pub(crate) use crate::core::reports::confirmation_frame;
 use crate::core::saved_crashes::SavedCrashes;
 use crate::core::saved_quarantine::SavedQuarantine;
 use crate::dialect::Dialect;
@@ -68,7 +69,7 @@
     /// The control state that this host sends to entry hosts. It may be newer than the one in
     /// force here, so that entry hosts decode a large configuration at the same time.
     published: RefCell<FleetControl>,
-    pub(crate) reports: RefCell<PendingReports>,
+    departures: RefCell<Departures>,
     /// Start of the process, by the monotonic clock, in milliseconds.
     started_ms: u64,
     crash_evidence: RefCell<CrashEvidence>,
@@ -98,7 +99,7 @@
             node,
             log,
             published: RefCell::new(ControlMachine::default().state().clone()),
-            reports: RefCell::default(),
+            departures: RefCell::default(),
             started_ms: clock::now_ms(),
             crash_evidence: RefCell::new(crash_file.load()),
             crash_file,
@@ -164,7 +165,7 @@
             }
             FleetFrame::Worker(worker) => self.on_relayed_report(from, worker),
             FleetFrame::WorkerSeen(confirmation) => {
-                self.reports.borrow_mut().on_confirmation(from, &confirmation)
+                self.departures.borrow_mut().on_confirmation(from, &confirmation)
             }
             FleetFrame::Hosts(hosts) => self.node.learn_hosts(hosts),
             FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
@@ -188,6 +189,7 @@
             FleetFrame::Crashes(crashes) => self.on_crashes(from, crashes),
             FleetFrame::PartsServed(served) => self.on_parts_served(&served),
             FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
+            FleetFrame::Leave(leave) => self.on_relayed_leave(from, leave),
             FleetFrame::Trial(trial) => self.on_trial(from, trial),
             FleetFrame::QuotaWanted(wanted) => self.on_quota_wanted(from, &wanted),
             // A core host takes the control state from its log and sums up the loads
@@ -219,6 +221,7 @@
             if ticks.is_multiple_of(CLEANUP_TICKS) {
                 self.remove_old_crashes();
                 self.remove_old_trials();
+                self.remove_old_departures();
                 self.unanswered.borrow_mut().remove_old(clock::now_ms());
             }
             self.send_hosts_to_cores(ticks);
--- a/crates/anvillift-node/src/core/reports.rs
+++ b/crates/anvillift-node/src/core/reports.rs
@@ -1,91 +1,62 @@
-//! Workers' reports on a core host: merging, relaying, confirmation and expiry.
+//! Workers' reports on a core host: merging, relaying and expiry.
 //!
 //! A report arrives from the worker or from another core host. A report that
-//! changes something is relayed to the other hosts. When a worker drains or
-//! leaves, its call is answered only once the hosts that may send requests to it
-//! have confirmed the report, so that it receives no more work afterwards.
-
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+//! changes something is relayed to the other hosts. [`departures`] answers a worker that drains
+//! or leaves.
 
 use anvillift_schema::event::Event;
-use anvillift_schema::fleet::{
-    FleetFrame, FleetHostRole, FleetWorker, FleetWorkerAck, FleetWorkerState,
-};
+use anvillift_schema::fleet::{FleetFrame, FleetHostRole, FleetWorker};
 use anvillift_schema::name::Name;
-use tokio::sync::oneshot;
-use tokio::time;
 
 use crate::clock;
 use crate::core::Core;
+use crate::core::departures::{self, Effect};
 
-/// Longest time for which the answer to a worker that drains or leaves waits for
-/// the confirmations of the hosts that may send requests to it.
-const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
 /// Missed reports after which a worker counts as silent.
 const MAX_MISSED_REPORTS: u64 = 4;
 /// Delay tolerated in addition to the missed reports, in milliseconds.
 const MAX_REPORT_DELAY_MS: u64 = 2_000;
 
-/// The hosts that have yet to confirm a report, and the channel to signal when
-/// all have.
-struct PendingConfirmation {
-    hosts: BTreeSet<Name>,
-    done: Option<oneshot::Sender<()>>,
-}
-
-/// Id, start time and sequence number of a worker's report.
-type ReportKey = (Name, u64, u64);
-
-/// Reports that wait for confirmations.
-#[derive(Default)]
-pub(crate) struct PendingReports {
-    pending: BTreeMap<ReportKey, PendingConfirmation>,
-}
-
-impl PendingReports {
-    /// Handles the confirmation of a report by a host.
-    pub(super) fn on_confirmation(&mut self, from: &Name, confirmed: &FleetWorkerAck) {
-        let key = (confirmed.id.clone(), confirmed.born_ms, confirmed.sequence);
-        if let Some(waiting) = self.pending.get_mut(&key) {
-            waiting.hosts.remove(from);
-            if waiting.hosts.is_empty()
-                && let Some(done) = waiting.done.take()
-            {
-                done.send(()).ok();
-            }
-        }
-    }
-}
-
 impl Core {
-    /// Handles a report received from a worker. If the worker drains or leaves,
-    /// returns when the hosts that may send requests to it have confirmed, or
-    /// after [`CONFIRMATION_TIMEOUT`].
-    pub(super) async fn on_report(&self, report: FleetWorker) {
-        let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
+    /// Handles a report received from a worker. If the worker drains or leaves, returns when the
+    /// hosts that may send requests to it have confirmed, or after a timeout.
+    pub(super) async fn on_report(&self, report: FleetWorker) -> Effect {
+        let is_departing = departures::is_departing(&report);
         match self.names_service(&report) {
             Some(true) => (),
+            Some(false) if is_departing => {
+                if let Some(effect) = self.depart_unlisted(&report).await {
+                    return effect;
+                }
+            }
             Some(false) => {
                 log::debug!("report of {} names an unknown service {}", report.id, report.service);
-                return;
+                return Effect::InEffect;
             }
             // That a worker drains has to reach the hosts that may send to it in any case.
-            None if is_ending => (),
-            None => return self.send_report(&self.linked_hosts(FleetHostRole::Core), &report),
+            None if is_departing => (),
+            None => {
+                self.send_report(&self.linked_hosts(FleetHostRole::Core), &report);
+                return Effect::InEffect;
+            }
         }
         let now_ms = clock::now_ms();
+        if !is_departing && self.departures.borrow().is_late_report(now_ms, &report) {
+            return Effect::InEffect;
+        }
         let has_changed = self.node.view.borrow_mut().workers.merge(now_ms, report.clone());
         if has_changed {
             log_report(&report, "heard");
         }
-        if is_ending && has_changed {
-            self.broadcast_and_await_confirmations(report).await;
-        } else if has_changed {
+        if is_departing {
+            return self.depart(report, has_changed).await;
+        }
+        if has_changed {
             self.broadcast_report(&report);
         } else {
             self.send_report(&self.linked_hosts(FleetHostRole::Core), &report);
         }
+        Effect::InEffect
     }
 
     /// Whether the configuration names the service of a report; `None` without a configuration.
@@ -98,22 +69,32 @@
         Some(configuration.services.contains_key(&report.service))
     }
 
-    /// Handles the deregistration of a worker as a report with the state `Left`.
-    pub(super) async fn on_leave(&self, worker: &str) {
-        let report = self.node.view.borrow_mut().workers.leave_report(clock::now_ms(), worker);
-        if let Some(report) = report {
-            self.on_report(report).await;
-        }
-    }
-
     /// Handles a report relayed by another core host, and confirms it.
     pub(super) fn on_relayed_report(&self, from: &Name, report: FleetWorker) {
+        let confirmation = departures::confirmation_frame(&report);
+        if self.takes_relayed(&report) {
+            self.merge_and_relay(report);
+        }
         if let Some(hub) = self.node.hub() {
-            hub.send(from, confirmation_frame(&report));
+            hub.send(from, confirmation);
         }
-        if self.names_service(&report) == Some(false) {
-            return;
+    }
+
+    /// Whether a relayed report counts here. The other core may have another configuration, and
+    /// a worker that drains or leaves does so whichever service it has.
+    fn takes_relayed(&self, report: &FleetWorker) -> bool {
+        if departures::is_departing(report) {
+            let view = self.node.view.borrow();
+            let known = view.workers.get(&report.id).map(|entry| &entry.report.service);
+            return known.is_some_and(|service| *service == report.service)
+                || self.names_service(report) != Some(false);
         }
+        self.names_service(report) != Some(false)
+            && !self.departures.borrow().is_late_report(clock::now_ms(), report)
+    }
+
+    /// Merges a report, and sends it to the entry hosts if it changes anything.
+    pub(super) fn merge_and_relay(&self, report: FleetWorker) {
         let now_ms = clock::now_ms();
         let has_changed = self.node.view.borrow_mut().workers.merge(now_ms, report.clone());
         if has_changed {
@@ -139,48 +120,13 @@
         }
     }
 
-    /// Broadcasts a report and waits until the hosts that may send requests to the
-    /// worker have confirmed it, or until the timeout.
-    async fn broadcast_and_await_confirmations(&self, report: FleetWorker) {
-        let region = self.node.settings.region_of(&report.data_centre).cloned();
-        let mut hosts: BTreeSet<Name> =
-            self.linked_hosts(FleetHostRole::Core).into_iter().collect();
-        {
-            let entries = self.linked_hosts(FleetHostRole::Entry);
-            let view = self.node.view.borrow();
-            let in_region =
-                |name: &Name| view.hosts.get(name).map(|host| &host.region) == region.as_ref();
-            hosts.extend(entries.into_iter().filter(in_region));
-        }
-        let key = (report.id.clone(), report.born_ms, report.sequence);
-        let (done, confirmed) = oneshot::channel();
-        let has_hosts = !hosts.is_empty();
-        self.reports
-            .borrow_mut()
-            .pending
-            .insert(key.clone(), PendingConfirmation { hosts, done: Some(done) });
-        self.broadcast_report(&report);
-        if has_hosts {
-            // A host that doesn't confirm in time receives the report when its
-            // link is up again.
-            time::timeout(CONFIRMATION_TIMEOUT, confirmed).await.ok();
-        }
-        let missing = self.reports.borrow_mut().pending.remove(&key);
-        let missing = missing.map_or(0, |waiting| waiting.hosts.len());
-        log::info!(
-            event = Event::UpstreamLeft.number(), worker = report.id.as_str(),
-            sequence = report.sequence, unconfirmed = missing;
-            "worker is draining or has left; {missing} hosts have not confirmed the report"
-        );
-    }
-
-    fn broadcast_report(&self, report: &FleetWorker) {
+    pub(super) fn broadcast_report(&self, report: &FleetWorker) {
         if let Some(hub) = self.node.hub() {
             hub.send_all(&FleetFrame::Worker(report.clone()));
         }
     }
 
-    fn send_report(&self, hosts: &[Name], report: &FleetWorker) {
+    pub(super) fn send_report(&self, hosts: &[Name], report: &FleetWorker) {
         let Some(hub) = self.node.hub() else { return };
         for name in hosts {
             hub.send(name, FleetFrame::Worker(report.clone()));
@@ -188,15 +134,6 @@
     }
 }
 
-/// Frame by which a host confirms a worker's report.
-pub(crate) fn confirmation_frame(report: &FleetWorker) -> FleetFrame {
-    FleetFrame::WorkerSeen(FleetWorkerAck {
-        id: report.id.clone(),
-        born_ms: report.born_ms,
-        sequence: report.sequence,
-    })
-}
-
 fn log_report(report: &FleetWorker, how: &str) {
     log::info!(
         event = Event::WorkerChanged.number(), worker = report.id.as_str(),
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -2,12 +2,13 @@
 
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetControlPosition, FleetFrame, FleetHostRole, FleetHostState, FleetWorker, FleetWorkerState,
+    FleetControlPosition, FleetFrame, FleetHostRole, FleetHostState, FleetLeave, FleetWorker,
+    FleetWorkerState,
 };
 use anvillift_schema::name::Name;
 
 use crate::clock;
-use crate::core::confirmation_frame;
+use crate::core::{confirmation_frame, leave_confirmation};
 use crate::entry::Entry;
 
 impl Entry {
@@ -37,6 +38,7 @@
                 reported.hosts.iter().for_each(|name| hosts.record_report(now_ms, name));
             }
             FleetFrame::Worker(report) => self.on_worker(from, report),
+            FleetFrame::Leave(leave) => self.on_leave(from, &leave),
             FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
                 self.node.view.borrow_mut().hosts.record_message(clock::now_ms(), from);
             }
@@ -96,6 +98,25 @@
         }
     }
 
+    /// Handles the word that a worker leaves which the core doesn't know.
+    fn on_leave(&self, from: &Name, leave: &FleetLeave) {
+        let is_meant = |service: &Name| leave.service.as_ref().is_none_or(|it| it == service);
+        let report = {
+            let workers = &mut self.node.view.borrow_mut().workers;
+            let known = workers.get(&leave.id).map(|entry| &entry.report.service);
+            known.is_some_and(is_meant).then(|| workers.leave_report(clock::now_ms(), &leave.id))
+        };
+        match report {
+            Some(Some(report)) => self.on_worker(from, report),
+            // It has just started again. Without a confirmation, the worker calls again.
+            Some(None) => return,
+            None => (),
+        }
+        if let Some(hub) = self.node.hub() {
+            hub.send(from, leave_confirmation(leave));
+        }
+    }
+
     fn on_worker(&self, from: &Name, report: FleetWorker) {
         let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
         let confirmation = confirmation_frame(&report);
--- a/crates/anvillift-node/src/node.rs
+++ b/crates/anvillift-node/src/node.rs
@@ -92,6 +92,7 @@
             cpu_millicores: settings.cpu_millicores,
             shares_quotas: true,
             shares_trials: true,
+            takes_leaves: true,
         };
         let mut hosts = HostTable::new(table_settings);
         hosts.merge(clock::now_ms(), own_host.clone(), true);
--- a/crates/anvillift-schema/src/code.rs
+++ b/crates/anvillift-schema/src/code.rs
@@ -80,6 +80,7 @@
     ChangeUnknown = 1605, 404, NotRun, "The change is unknown";
     CommitUnknown = 1606, 504, Unknown, "The change may have been accepted";
     OrderRefused = 1607, 409, NotRun, "The upstream refused the order";
+    ReportNotInEffect = 1608, 503, Unknown, "The report is not in effect yet";
     SettingsInvalid = 1701, 500, NotRun, "The settings are not valid";
     StorageFault = 1801, 500, NotRun, "The data folder failed";
     StorageDamaged = 1802, 500, NotRun, "The data folder is damaged";
