--- a/crates/anvillift-fleet/src/service.rs
+++ b/crates/anvillift-fleet/src/service.rs
@@ -18,6 +18,8 @@
     pub name: Name,
     /// Most connections that a worker accepts from all hosts together.
     pub connection_limit: u64,
+    /// Path of the status check of its workers.
+    pub health_path: String,
     /// Requests per second that a cold worker can take from all hosts together; 0
     /// if cold workers need no limit.
     pub cold_per_s: f64,
--- /dev/null
+++ b/crates/anvillift-fleet/src/worker_contact.rs
@@ -0,0 +1,107 @@
+//! Whether this host reaches any worker of its region.
+//!
+//! A worker that fails says something about itself; different workers that all fail, while
+//! no request that was sent later is answered, say that this host is cut off from them, or that
+//! all of them are down. Either way requests should go elsewhere until a worker answers again.
+//! Start at [`WorkerContact::update`].
+
+use std::collections::BTreeMap;
+
+use anvillift_schema::name::Name;
+
+/// Different workers that have to fail, or all of them if there are fewer.
+const MIN_FAILED_WORKERS: usize = 3;
+/// Failures that are needed in all.
+const MIN_FAILURES: u64 = 3;
+
+/// Failures of one worker since the newest request that any worker has answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Failures {
+    count: u64,
+    /// Time of sending of the last of them, in milliseconds.
+    last_sent_ms: u64,
+}
+
+/// A change of the contact to workers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ContactChange {
+    /// No worker is reached any more.
+    Lost,
+    /// A worker has answered.
+    Regained,
+}
+
+/// A worker that has sent nothing for long while it has a request.
+#[derive(Clone, Debug)]
+pub struct SilentWorker {
+    /// Id of the worker.
+    pub worker: Name,
+    /// Time since which it sends nothing, in milliseconds.
+    pub since_ms: u64,
+}
+
+/// The contact of this host to the workers of its region.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerContact {
+    /// Time of sending of the newest request that a worker has answered, in milliseconds.
+    answered_sent_ms: u64,
+    failures: BTreeMap<Name, Failures>,
+    is_lost: bool,
+}
+
+impl WorkerContact {
+    /// Whether no worker is reached.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
+    /// Records that a worker has answered a request that was sent at `sent_ms`, in whatever way.
+    pub fn record_answer(&mut self, sent_ms: u64) -> Option<ContactChange> {
+        self.answered_sent_ms = self.answered_sent_ms.max(sent_ms);
+        let answered_ms = self.answered_sent_ms;
+        self.failures.retain(|_, failures| failures.last_sent_ms > answered_ms);
+        self.end_loss()
+    }
+
+    /// Records that a worker could not be reached, or did not answer a request, that was sent at
+    /// `sent_ms`.
+    pub fn record_failure(&mut self, worker: &Name, sent_ms: u64) {
+        if sent_ms <= self.answered_sent_ms {
+            return;
+        }
+        let failures = self.failures.entry(worker.clone()).or_default();
+        failures.count += 1;
+        failures.last_sent_ms = failures.last_sent_ms.max(sent_ms);
+    }
+
+    /// Concludes from the failures whether contact is lost. `ready_workers` is the number of
+    /// workers of the region that take requests.
+    pub fn update(
+        &mut self,
+        ready_workers: usize,
+        silent: impl Iterator<Item = SilentWorker>,
+    ) -> Option<ContactChange> {
+        if ready_workers == 0 {
+            self.failures.clear();
+            return self.end_loss();
+        }
+        if self.is_lost {
+            return None;
+        }
+        let mut failed: BTreeMap<&Name, u64> =
+            self.failures.iter().map(|(worker, failures)| (worker, failures.count)).collect();
+        let silent: Vec<SilentWorker> =
+            silent.filter(|silent| silent.since_ms > self.answered_sent_ms).collect();
+        for silent in &silent {
+            *failed.entry(&silent.worker).or_default() += 1;
+        }
+        let failures: u64 = failed.values().sum();
+        let needed_workers = ready_workers.min(MIN_FAILED_WORKERS);
+        self.is_lost = failed.len() >= needed_workers && failures >= MIN_FAILURES;
+        self.is_lost.then_some(ContactChange::Lost)
+    }
+
+    fn end_loss(&mut self) -> Option<ContactChange> {
+        std::mem::take(&mut self.is_lost).then_some(ContactChange::Regained)
+    }
+}
--- a/crates/anvillift-fleet/src/worker_health.rs
+++ b/crates/anvillift-fleet/src/worker_health.rs
@@ -90,10 +90,16 @@
         self.failure_share > MAX_REQUEST_FAILURE_SHARE
     }
 
+    /// Time since which the worker sends nothing while it has requests, if it counts as silent, in
+    /// milliseconds.
+    pub fn silent_since_ms(&self, now_ms: u64, settings: &WorkerHealthSettings) -> Option<u64> {
+        let since_ms = self.silent_since_ms?;
+        (now_ms.saturating_sub(since_ms) > settings.silent_after_ms).then_some(since_ms)
+    }
+
     /// How degraded the worker is.
     pub fn degradation(&self, now_ms: u64, settings: &WorkerHealthSettings) -> Degradation {
-        let silent_ms = self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
-        if silent_ms > settings.silent_after_ms {
+        if self.silent_since_ms(now_ms, settings).is_some() {
             return Degradation::Silent;
         }
         let age_ms = now_ms.saturating_sub(self.last_score_ms) as f64;
--- a/crates/anvillift-http/src/error.rs
+++ b/crates/anvillift-http/src/error.rs
@@ -68,3 +68,10 @@
         source: io::Error,
     },
 }
+
+impl HttpError {
+    /// Whether the connection ended, rather than carry bytes that can't be accepted.
+    pub fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Incomplete | Self::Closed | Self::Io { .. })
+    }
+}
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -30,6 +30,8 @@
 /// Header field of an answer by which an entry host states that no worker has
 /// executed the request it was forwarded.
 pub(crate) const NOT_RUN_HEADER: &str = "Anvillift-Not-Run";
+/// Value of that field if the request was sent to no worker.
+pub(crate) const NOT_SENT: &str = "not-sent";
 
 /// Header field with the version of the worker's software: in a forwarded request the
 /// version that the receiving host must choose, in its answer the one that it chose.
@@ -80,6 +82,7 @@
         response_timeout_ms: u64,
         can_switch: impl Fn() -> bool,
     ) -> AttemptOutcome {
+        let began_ms = clock::now_ms();
         // Unlike a branch of the `select!`, a timeout also fires while bytes keep arriving
         // without a pause.
         let remaining = Duration::from_millis(request.remaining_ms());
@@ -92,12 +95,14 @@
                 biased;
                 outcome = &mut sending => return outcome.unwrap_or_else(|_| {
                     let reason = "no response by the deadline".to_owned();
+                    self.record_worker_failure(target, began_ms, false);
                     AttemptOutcome::NoResponse(AttemptEnd::TimedOut, reason)
                 }),
                 () = &mut response_timeout, if is_timeout_armed => {
                     is_timeout_armed = false;
                     if can_switch() {
                         let reason = "no response in time".to_owned();
+                        self.record_worker_failure(target, began_ms, false);
                         return AttemptOutcome::NoResponse(AttemptEnd::Broken, reason);
                     }
                 }
@@ -124,10 +129,12 @@
                     let now_ms = clock::now_ms();
                     self.dispatch.borrow_mut().connect_failed(now_ms, &target.name);
                     self.node.view.borrow_mut().workers.suspect_cold(now_ms, &target.name);
+                    self.record_worker_failure(target, now_ms, true);
                 }
                 return AttemptOutcome::NoResponse(AttemptEnd::NotSent, error.to_string());
             }
         };
+        let is_new_connection = lease.is_new();
         request.served.record_attempt();
         let bytes = self.request_bytes(request, target, resume_after);
         let mut sent_bytes = 0;
@@ -137,8 +144,10 @@
         let limits = if target.is_host { of_worker.of_relayed() } else { of_worker };
         let read = match lease.connection() {
             Ok(connection) => {
-                let on_head =
-                    |head: &ResponseHead| self.record_notices(request, target, sent_ms, head);
+                let on_head = |head: &ResponseHead| {
+                    self.record_worker_answer(target, sent_ms, is_new_connection);
+                    self.record_notices(request, target, sent_ms, head);
+                };
                 exchange::send_and_read(
                     connection,
                     &bytes,
@@ -156,11 +165,17 @@
             Ok(head) => {
                 self.classify_response(request, target, lease, head, sent_bytes < bytes.len())
             }
-            Err(_) if sent_bytes == 0 => AttemptOutcome::NoResponse(
-                AttemptEnd::NotSent,
-                "connection failed before any byte of the request was sent".to_owned(),
-            ),
+            Err(_) if sent_bytes == 0 => {
+                self.record_worker_failure(target, sent_ms, is_new_connection);
+                AttemptOutcome::NoResponse(
+                    AttemptEnd::NotSent,
+                    "connection failed before any byte of the request was sent".to_owned(),
+                )
+            }
             Err(error) => {
+                if error.is_disconnect() {
+                    self.record_worker_failure(target, sent_ms, is_new_connection);
+                }
                 self.record_broken_answer(request, target);
                 AttemptOutcome::NoResponse(AttemptEnd::Broken, error.to_string())
             }
@@ -192,9 +207,14 @@
                 let reason = format!("rejection with {} without the id of a request", head.status);
                 return AttemptOutcome::NoResponse(AttemptEnd::Broken, reason);
             }
+            let is_unsent = head.headers.get(NOT_RUN_HEADER) == Some(NOT_SENT);
             if framing == Framing::Length(0) && !answered_early && is_identified {
                 lease.release(&head);
             }
+            if was_not_run_by_host && is_unsent {
+                let reason = format!("not sent by the other host: status {}", head.status);
+                return AttemptOutcome::NoResponse(AttemptEnd::NotSent, reason);
+            }
             return AttemptOutcome::NoResponse(
                 AttemptEnd::Rejected,
                 format!("rejected with {}", head.status),
--- a/crates/anvillift-node/src/entry/attempts.rs
+++ b/crates/anvillift-node/src/entry/attempts.rs
@@ -18,6 +18,8 @@
     pub(crate) attempt_count: u32,
     /// Attempts in which a worker may have executed the request.
     pub(crate) run_count: u32,
+    /// Workers of this region that could not be reached.
+    pub(crate) unreachable_workers: u32,
     /// The software versions whose workers may take the next attempt.
     pub(crate) version_constraint: VersionConstraint,
 }
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -103,6 +103,11 @@
         health.map_or(Degradation::None, |health| health.degradation(now_ms, &self.health_settings))
     }
 
+    /// Time since which a worker counts as silent, in milliseconds.
+    pub(crate) fn silent_since_ms(&self, now_ms: u64, worker: &str) -> Option<u64> {
+        self.health.get(worker)?.silent_since_ms(now_ms, &self.health_settings)
+    }
+
     /// Records that a request is sent to a worker.
     pub(crate) fn request_sent(
         &mut self,
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -225,6 +225,8 @@
     ) -> Option<FinalOutcome> {
         let may_have_run = matches!(end, AttemptEnd::Broken | AttemptEnd::TimedOut);
         attempts.run_count += u32::from(may_have_run);
+        let is_unreachable = end == AttemptEnd::NotSent && !started.target.is_host;
+        attempts.unreachable_workers += u32::from(is_unreachable);
         if attempts.run_count == 0 {
             request.served.set_progress(RequestProgress::NotRun);
         }
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -125,6 +125,7 @@
         let has_changed = self.node.view.borrow_mut().workers.merge(clock::now_ms(), report);
         if has_changed {
             self.notify_waiting();
+            self.check_contact_soon();
             self.report_ended_workers();
             // The version of recent streams may no longer be certain.
             self.announcement_due.notify_one();
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`front`] serves the connections of callers and of other entry hosts that
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
-//! makes attempts at the targets that [`target`] chooses, unless [`deadline`], [`calls`] or
+//! makes attempts at the targets that [`target`] and [`host_target`] choose, by whether this host
+//! reaches workers ([`contact`]), unless [`deadline`], [`calls`] or
 //! [`overload`] rejects the request, the last by the share of its team ([`team_shares`]) where
 //! there are teams, or the [`quota`] of its team has no room; [`notices`] keeps what workers say in
 //! their answers. [`relay`] streams the response to the caller, and [`resume`] continues a broken
@@ -20,6 +21,7 @@
 mod body_memory;
 mod calls;
 mod carried_requests;
+mod contact;
 mod counted_quota;
 mod crashes;
 mod deadline;
@@ -29,6 +31,7 @@
 mod forward;
 mod frames;
 mod front;
+mod host_target;
 mod housekeeping;
 mod load_decision;
 mod notices;
@@ -71,6 +74,7 @@
 
 use crate::dialect::{CallError, ControlCall, Dialect};
 use crate::entry::body_memory::BodyMemory;
+use crate::entry::contact::ContactState;
 use crate::entry::dispatch_state::DispatchState;
 use crate::entry::planned_stop::PlannedStop;
 use crate::entry::pool::Pool;
@@ -107,6 +111,10 @@
     accepting_ends: Notify,
     /// Wakes the task that tells cores about streams.
     announcement_due: Notify,
+    /// How far this host reaches the workers of its region.
+    contact: RefCell<ContactState>,
+    /// Wakes the task that checks workers while none is reached.
+    contact_check_due: Notify,
     /// Answers that broke off, until it is known whether their worker has crashed.
     broken: RefCell<BrokenRequests>,
     /// Crashes that this host has confirmed. It tells cores of them, and decides by them while it
@@ -164,6 +172,8 @@
             accepting: RefCell::default(),
             accepting_ends: Notify::new(),
             announcement_due: Notify::new(),
+            contact: RefCell::default(),
+            contact_check_due: Notify::new(),
             broken: RefCell::default(),
             crash_evidence: RefCell::default(),
             trials: RefCell::default(),
@@ -186,6 +196,8 @@
         task::spawn_local(async move { announcer.run_announcements().await });
         let checker = Rc::clone(&entry);
         task::spawn_local(async move { checker.run_crash_checks().await });
+        let contact_checker = Rc::clone(&entry);
+        task::spawn_local(async move { contact_checker.run_contact_checks().await });
         let asker = Rc::clone(&entry);
         task::spawn_local(async move { asker.run_quota_questions().await });
         Ok(entry)
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use anvillift_fleet::eligibility::Ineligible;
+use anvillift_fleet::target_order::Contact;
 use anvillift_fleet::{VersionConstraint, WorkerEntry, WorkerStart, rate_limit, retry_after};
 use anvillift_http::ResponseHead;
 use anvillift_schema::event::Event;
@@ -12,6 +13,7 @@
 use crate::clock;
 use crate::dialect::LEAVING_VALUE;
 use crate::entry::attempts::Attempts;
+use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
@@ -170,6 +172,10 @@
         if let Some(failure) = self.quarantine_refusal(request) {
             return failure;
         }
+        let is_unsent_forward = request.origin == Origin::Host && attempts.attempt_count == 0;
+        if is_unsent_forward && self.contact.borrow().contact() != Contact::Full {
+            return RequestFailure::NO_CONTACT;
+        }
         let view = self.node.view.borrow();
         let declined = self.declined_by_workers(&view, request, &attempts.version_constraint);
         if declined.is_empty() {
--- a/crates/anvillift-node/src/entry/pool.rs
+++ b/crates/anvillift-node/src/entry/pool.rs
@@ -193,6 +193,11 @@
 }
 
 impl Lease {
+    /// Whether the connection has carried no other request.
+    pub(crate) fn is_new(&self) -> bool {
+        !self.carried.has_earlier()
+    }
+
     /// The connection, which exists for as long as the lease is held.
     pub(crate) fn connection(&mut self) -> io::Result<&mut Connection> {
         self.connection.as_mut().ok_or_else(|| io::Error::from(io::ErrorKind::NotConnected))
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::entry::Entry;
-use crate::entry::attempt::NOT_RUN_HEADER;
+use crate::entry::attempt::{NOT_RUN_HEADER, NOT_SENT};
 use crate::entry::front::Origin;
 use crate::respond::Reply;
 
@@ -25,6 +25,9 @@
 
 impl RequestFailure {
     pub(crate) const NO_WORKER: Self = Self::retryable(Code::NoUpstream, 300);
+    /// This host reaches no worker, and another host has sent the request here.
+    pub(crate) const NO_CONTACT: Self =
+        Self::retryable(Code::NoUpstream, 300).because("this host reaches no worker of its region");
     /// The backlog of prompts takes about this long to shrink.
     pub(crate) const OVERLOADED: Self = Self::retryable(Code::Overloaded, 1_400);
     /// A brittle worker has room again when one of its requests ends.
@@ -102,7 +105,8 @@
         let code = failure.code;
         let mut reply = self.node.error_reply(code, code.title());
         if origin == Origin::Host && code.outcome() == Outcome::NotRun {
-            reply.headers.push(NOT_RUN_HEADER, "1");
+            let value = if failure == RequestFailure::NO_CONTACT { NOT_SENT } else { "1" };
+            reply.headers.push(NOT_RUN_HEADER, value);
         }
         match failure.retry_after_ms {
             Some(retry_after_ms) if failure.is_spread => reply.retry_after_ms(retry_after_ms),
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -1,19 +1,17 @@
 //! Chooses the target of an attempt.
 //!
-//! A healthy worker of this host's region comes first, unless another region is
-//! less loaded or caches the prompt's prefix. If there is none, the request is forwarded
-//! to an entry host of another region that the route allows. A request is forwarded
-//! only once: the receiving host chooses among the workers of its own region.
+//! The order of the ways to a worker is that of [`target_order`]. Hosts to which a request is
+//! forwarded are chosen in [`host_target`](super::host_target). A request is forwarded only once:
+//! the receiving host chooses among the workers of its own region.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use anvillift_fleet::choose::{Candidate, Degradation};
 use anvillift_fleet::spill::SpillReason;
+use anvillift_fleet::target_order::{Way, WayFacts};
 use anvillift_fleet::{
-    VersionConstraint, WorkerEntry, WorkerStart, choose, spill, start_wait, subset,
+    VersionConstraint, WorkerEntry, WorkerStart, choose, spill, start_wait, subset, target_order,
 };
-use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::Rng;
 
@@ -27,10 +25,8 @@
 
 /// Fraction of a cold worker's configured rate that the entry hosts use together.
 const COLD_RATE_FRACTION: f64 = 0.9;
-/// Most connections to one other entry host.
-const MAX_HOST_CONNECTIONS: usize = 256;
 
-/// Target of an attempt: a worker, or an entry host of another region.
+/// Target of an attempt: a worker, or another entry host.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
     /// Id of the worker or name of the host.
@@ -64,28 +60,48 @@
             if is_allowed_here { self.candidates(&view, request, attempts) } else { Vec::new() };
         let draw = self.dispatch.borrow_mut().rng.random();
         choose::order(&mut candidates, request.affinity_key, draw);
-        if request.origin == Origin::Caller
-            && attempts.tried.is_empty()
-            && attempts.version_constraint == VersionConstraint::Any
-            && let Some(target) = self.better_remote_target(&view, request)
-        {
-            return Some(target);
-        }
-        let healthy = candidates.iter().filter(|other| other.degradation == Degradation::None);
-        if let Some(target) = self.first_allowed(&view, request, healthy, TargetReason::Local) {
-            return Some(target);
-        }
-        if request.origin == Origin::Caller
-            && let Some(target) =
-                self.remote_target(&view, request, attempts, None, TargetReason::Remote)
-        {
-            return Some(target);
+        let facts = WayFacts {
+            is_from_caller: request.origin == Origin::Caller,
+            contact: self.contact.borrow().contact(),
+            unreachable_workers: attempts.unreachable_workers,
+        };
+        let mut ways = target_order::ways(&facts).iter();
+        ways.find_map(|way| self.target_by(*way, &view, request, attempts, &candidates))
+    }
+
+    /// The target by one way, if there is one.
+    fn target_by(
+        &self,
+        way: Way,
+        view: &FleetView,
+        request: &Request,
+        attempts: &Attempts,
+        candidates: &[Candidate],
+    ) -> Option<Target> {
+        match way {
+            Way::PreferredRegion => {
+                let is_first = attempts.tried.is_empty()
+                    && attempts.version_constraint == VersionConstraint::Any;
+                is_first.then(|| self.better_remote_target(view, request))?
+            }
+            Way::LocalWorker => {
+                let healthy =
+                    candidates.iter().filter(|other| other.degradation == Degradation::None);
+                self.first_allowed(view, request, healthy, TargetReason::Local)
+            }
+            Way::Sibling => self.sibling_target(view, request, attempts),
+            Way::OtherRegion => {
+                self.remote_target(view, request, attempts, None, TargetReason::Remote)
+            }
+            Way::DegradedWorker => {
+                let degraded = candidates.iter().filter(|other| {
+                    other.degradation == Degradation::Failing
+                        || (other.degradation == Degradation::Silent
+                            && request.route.kind.may_repeat())
+                });
+                self.first_allowed(view, request, degraded, TargetReason::Degraded)
+            }
         }
-        let degraded = candidates.iter().filter(|other| {
-            other.degradation == Degradation::Failing
-                || (other.degradation == Degradation::Silent && request.route.kind.may_repeat())
-        });
-        self.first_allowed(&view, request, degraded, TargetReason::Degraded)
     }
 
     /// Whether a worker in `view` could take a request now.
@@ -201,50 +217,6 @@
         };
         self.remote_target(view, request, &Attempts::default(), Some(&region), reason.into())
     }
-
-    /// A random healthy entry host of another region with workers of the service;
-    /// `only` restricts it to one region.
-    pub(super) fn remote_target(
-        &self,
-        view: &FleetView,
-        request: &Request,
-        attempts: &Attempts,
-        only: Option<&Name>,
-        reason: TargetReason,
-    ) -> Option<Target> {
-        let now_ms = clock::now_ms();
-        let settings = &self.node.settings;
-        let is_reachable = |region: &Name| view.hosts.is_region_reachable(now_ms, region);
-        let serving_regions: BTreeSet<&Name> = view
-            .workers
-            .ready(&request.service)
-            .filter(|entry| attempts.version_constraint.allows(entry.report.version.as_ref()))
-            .filter(|entry| !view.control.evacuated.contains(&entry.report.data_centre))
-            .filter_map(|entry| settings.region_of(&entry.report.data_centre))
-            .filter(|region| **region != settings.region && request.allows_region(region))
-            .filter(|region| only.is_none_or(|only| only == *region) && is_reachable(region))
-            .collect();
-        let mut dispatch = self.dispatch.borrow_mut();
-        let hosts: Vec<&FleetHost> = serving_regions
-            .into_iter()
-            .flat_map(|region| view.hosts.ready_entries_in(now_ms, region))
-            .filter(|host| !attempts.tried.contains(&host.name))
-            .filter(|host| dispatch.degradation(now_ms, &host.name) == Degradation::None)
-            .collect();
-        if hosts.is_empty() {
-            return None;
-        }
-        let host = hosts[dispatch.rng.random_range(0..hosts.len())];
-        Some(Target {
-            name: host.name.clone(),
-            address: host.forward_address.parse().ok()?,
-            is_host: true,
-            born_ms: 0,
-            version: attempts.version_constraint.required().cloned(),
-            connection_limit: MAX_HOST_CONNECTIONS,
-            reason,
-        })
-    }
 }
 
 fn worker_start(entry: &WorkerEntry) -> WorkerStart {
--- a/crates/anvillift-node/src/entry/target_reason.rs
+++ b/crates/anvillift-node/src/entry/target_reason.rs
@@ -8,6 +8,9 @@
     /// A healthy worker of this region.
     #[display("local")]
     Local,
+    /// Another host of this region, since this one reaches no worker.
+    #[display("sibling")]
+    Sibling,
     /// A host of another region, since this one has no healthy worker.
     #[display("remote")]
     Remote,
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -99,6 +99,8 @@
     TrialSent = 2737, "info", "A quarantined request is sent to a worker as a trial";
     TrialServed = 2738, "info", "A trial of a quarantined request was served";
     QuarantineReleased = 2739, "warn", "Requests that were refused as crashing workers are sent again";
+    ContactLost = 2740, "warn", "This host reaches no worker of its region";
+    ContactRegained = 2741, "info", "A worker has answered this host again";
 }
 
 impl Event {
