--- a/crates/anvillift-fleet/src/eligibility.rs
+++ b/crates/anvillift-fleet/src/eligibility.rs
@@ -28,6 +28,10 @@
     /// The request resumes a stream of another software version.
     #[display("other_version")]
     OtherVersion,
+    /// Its start is said to have crashed, so that its version is not known, and the request is one
+    /// for a stream that may be resumed.
+    #[display("version_doubted")]
+    VersionDoubted,
     /// It has said in an answer that it is leaving.
     #[display("leaving")]
     Leaving,
@@ -69,6 +73,8 @@
     pub tried: &'a BTreeSet<Name>,
     /// Versions at which the request may be served.
     pub version_constraint: &'a VersionConstraint,
+    /// Whether the version at which the request is served has to be known.
+    pub needs_known_version: bool,
 }
 
 /// Checks whether a worker may get a request.
@@ -86,6 +92,9 @@
     if !facts.version_constraint.allows(report.version.as_ref()) {
         return Err(Ineligible::OtherVersion);
     }
+    if facts.needs_known_version && facts.worker.is_version_doubted(facts.now_ms) {
+        return Err(Ineligible::VersionDoubted);
+    }
     if facts.notice.leaving_since_ms.is_some() {
         return Err(Ineligible::Leaving);
     }
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -35,6 +35,20 @@
 /// milliseconds.
 const MAX_CHECK_INTERVAL_MS: u64 = 1_000;
 
+/// Reports of the same start needed before the version of a worker that was said to have crashed
+/// counts again: the next one may have been sent before.
+const REPORTS_TO_CONFIRM_VERSION: u64 = 2;
+/// Longest time for which the version of such a worker is doubted, in milliseconds.
+const MAX_VERSION_DOUBT_MS: u64 = 6_000;
+
+/// The doubt that a worker still has the version of its last report.
+#[derive(Clone, Copy, Debug)]
+struct VersionDoubt {
+    until_ms: u64,
+    /// Sequence number from which a report of the same start ends the doubt.
+    until_sequence: u64,
+}
+
 /// The state of one worker.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -54,9 +68,22 @@
     /// Time at which it was first heard after it had started again; `None` if it hasn't, or if a
     /// late word that it leaves has come since.
     restarted_ms: Option<u64>,
+    version_doubt: Option<VersionDoubt>,
 }
 
 impl WorkerEntry {
+    /// Whether its start is said to have crashed, so that another version may run under its id.
+    pub fn is_version_doubted(&self, now_ms: u64) -> bool {
+        self.version_doubt.is_some_and(|doubt| doubt.until_ms > now_ms)
+    }
+
+    /// The doubt that is left after a report.
+    fn version_doubt_after(&self, report: &FleetWorker) -> Option<VersionDoubt> {
+        self.version_doubt.filter(|doubt| {
+            report.born_ms == self.report.born_ms && report.sequence < doubt.until_sequence
+        })
+    }
+
     /// Whether the worker takes new requests.
     pub fn is_ready(&self) -> bool {
         self.report.state == FleetWorkerState::Ready
@@ -156,6 +183,7 @@
             was_replaced: false,
             awaits_report: false,
             restarted_ms,
+            version_doubt: existing.and_then(|existing| existing.version_doubt_after(&report)),
             report,
         };
         self.workers.insert(entry.report.id.clone(), entry);
@@ -195,6 +223,20 @@
         }
     }
 
+    /// Doubts the version of a worker whose start is said to have crashed. Returns whether that is
+    /// its last known start, and was not doubted before.
+    pub fn doubt_version(&mut self, now_ms: u64, start: &WorkerStart) -> bool {
+        let Some(entry) = self.workers.get_mut(&start.id) else { return false };
+        if entry.report.born_ms != start.born_ms || entry.is_version_doubted(now_ms) {
+            return false;
+        }
+        entry.version_doubt = Some(VersionDoubt {
+            until_ms: now_ms + MAX_VERSION_DOUBT_MS,
+            until_sequence: entry.report.sequence + REPORTS_TO_CONFIRM_VERSION,
+        });
+        true
+    }
+
     /// Marks ready and draining workers without a report for longer than
     /// `silent_after_ms` as silent and returns their reports. Also removes workers
     /// whose last report is much older. Time for which this host stood still doesn't count.
@@ -320,4 +362,5 @@
         || old.version != report.version
         || existing.confirmed_from_sequence.is_some() && !existing.is_suspected_after(report)
         || (report.cold_ms > 0) != was_cold
+        || existing.version_doubt.is_some() && existing.version_doubt_after(report).is_none()
 }
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -39,6 +39,7 @@
 mod team_share;
 mod teams;
 mod unanswered_queries;
+mod version_doubt;
 mod worker_contact;
 mod worker_speeds;
 mod worker_weights;
--- a/crates/anvillift-fleet/tests/testsuite/notices.rs
+++ b/crates/anvillift-fleet/tests/testsuite/notices.rs
@@ -148,6 +148,7 @@
         evacuated: &evacuated,
         tried: &tried,
         version_constraint: &VersionConstraint::Any,
+        needs_known_version: true,
     };
     assert_eq!(eligibility::check(&facts), expected);
     let only = VersionConstraint::Only(Name::from("v1"));
--- a/crates/anvillift-node/src/core/crashes.rs
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -3,7 +3,9 @@
 
 use std::collections::BTreeSet;
 
-use anvillift_fleet::{ConfirmedCrash, Fingerprint, Question, RequestFeatures, WorkerStart};
+use anvillift_fleet::{
+    ConfirmedCrash, Fingerprint, Question, RequestFeatures, WorkerStart, directory,
+};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
     FleetCrash, FleetCrashedRequest, FleetCrashes, FleetFrame, FleetHost, FleetHostRole,
@@ -20,12 +22,17 @@
 /// must have linked as well by the time they are asked.
 const DECISION_DELAY_MS: u64 = 1_000;
 
+/// Age of a crash up to which the worker may not have reported its next start yet, in milliseconds.
+/// Older ones are told again when a link comes up.
+const MAX_DOUBTED_AGE_MS: u64 = 3_000;
+
 impl Core {
     /// Records the crashes that an entry host has seen.
     pub(super) fn on_crashes(&self, from: &Name, crashes: FleetCrashes) {
         let now_ms = clock::now_ms();
         for crash in crashes.crashes {
             let confirmed = confirmed_crash(now_ms, &crash);
+            self.doubt_version(from, &crash);
             if !self.crash_evidence.borrow_mut().record(now_ms, confirmed) {
                 continue;
             }
@@ -40,6 +47,29 @@
         self.evaluate_crashes();
     }
 
+    /// Doubts the version of a worker that an entry host says has crashed, and tells the entry hosts:
+    /// it may start again under its id with another one, and its first report may come late.
+    fn doubt_version(&self, from: &Name, crash: &FleetCrash) {
+        let now_ms = clock::now_ms();
+        if crash.age_ms > MAX_DOUBTED_AGE_MS {
+            return;
+        }
+        if !self.crash_reporters.borrow_mut().record(now_ms, from, &crash.worker) {
+            return;
+        }
+        let start = WorkerStart { id: crash.worker.clone(), born_ms: crash.born_ms };
+        let is_news = self.node.view.borrow_mut().workers.doubt_version(now_ms, &start);
+        let Some(hub) = self.node.hub().filter(|_| is_news) else { return };
+        let without_requests =
+            FleetCrash { parts: Vec::new(), requests: Vec::new(), ..crash.clone() };
+        let frame = FleetFrame::Crashes(FleetCrashes { crashes: vec![without_requests] });
+        let view = self.node.view.borrow();
+        let entries = directory::hosts_informed_by(&view.hosts, now_ms, &self.node.own_host());
+        for entry in entries.iter().filter(|entry| entry.shares_quarantine) {
+            hub.send(&entry.name, frame.clone());
+        }
+    }
+
     /// Records when an entry host has served requests with some features.
     pub(super) fn on_parts_served(&self, served: &FleetServedParts) {
         let now_ms = clock::now_ms();
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -27,7 +27,8 @@
 use std::time::Duration;
 
 use anvillift_fleet::{
-    ControlMachine, CrashEvidence, QuarantineTrials, UnansweredQueries, WorkerWeights,
+    ControlMachine, CrashEvidence, CrashReporters, QuarantineTrials, UnansweredQueries,
+    WorkerWeights,
 };
 use anvillift_http::RequestHead;
 use anvillift_schema::event::Event;
@@ -74,6 +75,7 @@
     started_ms: u64,
     crash_evidence: RefCell<CrashEvidence>,
     crash_file: SavedCrashes,
+    crash_reporters: RefCell<CrashReporters>,
     quarantine_file: SavedQuarantine,
     /// Trials of quarantined requests that this host has granted.
     trials: RefCell<QuarantineTrials>,
@@ -103,6 +105,7 @@
             started_ms: clock::now_ms(),
             crash_evidence: RefCell::new(crash_file.load()),
             crash_file,
+            crash_reporters: RefCell::default(),
             quarantine_file,
             trials: RefCell::default(),
             quotas: RefCell::default(),
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use anvillift_fleet::target_order::Contact;
 use anvillift_fleet::{ConfirmedCrash, RequestFeatures, WorkerStart};
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
@@ -124,12 +125,25 @@
         {
             return;
         }
+        // While no worker is reached, it is not known which of them have crashed.
+        if self.contact.borrow().contact() == Contact::Full {
+            self.node.view.borrow_mut().workers.doubt_version(clock::now_ms(), &worker);
+        }
         let crash = self.broken.borrow_mut().confirm(clock::now_ms(), &worker);
         if let Some(crash) = crash {
             self.report_crashes(vec![crash]);
         }
     }
 
+    /// Doubts the versions of workers that have crashed, as a core says.
+    pub(super) fn on_crashed_elsewhere(&self, crashes: &FleetCrashes) {
+        let workers = &mut self.node.view.borrow_mut().workers;
+        for crash in &crashes.crashes {
+            let start = WorkerStart { id: crash.worker.clone(), born_ms: crash.born_ms };
+            workers.doubt_version(clock::now_ms(), &start);
+        }
+    }
+
     /// Reports the crashes of workers that have started anew or fallen silent since.
     pub(super) fn report_ended_workers(&self) {
         let workers = &self.node.view.borrow().workers;
--- a/crates/anvillift-node/src/entry/eligible.rs
+++ b/crates/anvillift-node/src/entry/eligible.rs
@@ -6,13 +6,14 @@
 use anvillift_fleet::eligibility::{EligibilityFacts, Ineligible};
 use anvillift_fleet::room_share::RoomFacts;
 use anvillift_fleet::{
-    LimitSharers, VersionConstraint, WorkerEntry, WorkerNotice, eligibility, room_share,
+    LimitSharers, RepeatKind, VersionConstraint, WorkerEntry, WorkerNotice, eligibility, room_share,
 };
 use anvillift_schema::name::Name;
 
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::dispatch_state::DispatchState;
+use crate::entry::request::Request;
 use crate::fleet_view::FleetView;
 
 /// Time after the start of this host by which it has received the names of all
@@ -76,7 +77,7 @@
     shared: &SharedFacts,
     worker: &WorkerEntry,
     tried: &BTreeSet<Name>,
-    version_constraint: &VersionConstraint,
+    (request, version_constraint): (&Request, &VersionConstraint),
 ) -> Result<(), Ineligible> {
     let now_ms = clock::now_ms();
     let notice = dispatch.notices.get(&worker.start());
@@ -89,6 +90,7 @@
         evacuated: &view.control.evacuated,
         tried,
         version_constraint,
+        needs_known_version: request.route.kind == RepeatKind::ResumableStream,
     })
 }
 
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -56,8 +56,8 @@
             FleetFrame::Quarantine(entry) => self.node.add_quarantine(&entry, from),
             FleetFrame::Trial(trial) => self.on_trial_granted(trial),
             FleetFrame::QuotaGranted(granted) => self.on_quota_granted(from, &granted),
+            FleetFrame::Crashes(crashes) => self.on_crashed_elsewhere(&crashes),
             FleetFrame::Consensus(_)
-            | FleetFrame::Crashes(_)
             | FleetFrame::PartsServed(_)
             | FleetFrame::QuotaWanted(_)
             | FleetFrame::Streams(_)
--- a/crates/anvillift-node/src/entry/notices.rs
+++ b/crates/anvillift-node/src/entry/notices.rs
@@ -218,8 +218,14 @@
         // A worker that has rejected this request counts, too.
         let untried = BTreeSet::new();
         let declined = |worker: &WorkerEntry| {
-            let checked =
-                eligible::check(view, &dispatch, &shared, worker, &untried, version_constraint);
+            let checked = eligible::check(
+                view,
+                &dispatch,
+                &shared,
+                worker,
+                &untried,
+                (request, version_constraint),
+            );
             match checked {
                 Err(Ineligible::Paused { until_ms }) => {
                     Some(Declined::Paused { remaining_ms: until_ms - now_ms })
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -124,7 +124,7 @@
         let dispatch = self.dispatch.borrow();
         let region = &self.node.settings.region;
         let shared = self.shared_facts(view, &dispatch, &request.service);
-        let (tried, versions) = (&attempts.tried, &attempts.version_constraint);
+        let (tried, versions) = (&attempts.tried, (request, &attempts.version_constraint));
         let usable = view.workers.ready(&request.service).filter(|entry| {
             self.node.settings.region_of(&entry.report.data_centre) == Some(region)
                 && eligible::check(view, &dispatch, &shared, entry, tried, versions).is_ok()
