--- a/crates/anvillift-fleet/src/concurrency_limit.rs
+++ b/crates/anvillift-fleet/src/concurrency_limit.rs
@@ -39,6 +39,8 @@
     pub less_urgent_part: f64,
     /// Part of the less urgent requests that counts as urgent, so that they are not starved.
     pub favoured_part: f64,
+    /// Limit for streams that are taken up again, as a multiple of the limit.
+    pub resumed_part: f64,
     /// Longest time after which a rejected caller may come back, as a share of the target
     /// latency. It is short enough for the answer to be in time still.
     pub max_retry_wait: f64,
@@ -57,6 +59,7 @@
             uneven_factor: 1.3,
             less_urgent_part: 0.85,
             favoured_part: 0.25,
+            resumed_part: 2.0,
             max_retry_wait: 0.35,
         }
     }
@@ -115,6 +118,15 @@
         load.in_flight < self.limit(load) * part
     }
 
+    /// Whether a stream is admitted that its caller takes up again. Those of a host that has failed
+    /// come to the others all at once, while the workers have lost as many requests.
+    pub fn admits_resumed(&self, load: &LoadAtHost) -> bool {
+        if load.target_ms == 0 || load.workers <= 0.0 {
+            return true;
+        }
+        load.in_flight < self.limit(load) * self.settings.resumed_part
+    }
+
     /// The most that this host may have in flight, in batches.
     ///
     /// The report of free slots may be from before a burst, so the highest limit applies all the
--- a/crates/anvillift-fleet/tests/testsuite/overload.rs
+++ b/crates/anvillift-fleet/tests/testsuite/overload.rs
@@ -212,6 +212,19 @@
     assert!(limit.admits(&load, false, 0.2));
 }
 
+/// Guards against streams of a host that has failed, which come to the others all at once and are
+/// rejected there like new ones, and against streams that are taken up without any limit.
+#[test]
+fn streams_that_are_taken_up_are_admitted_beyond_the_limit() {
+    let limit = ConcurrencyLimit::default();
+    let full = Host { requests: 120, ..Host::default() }.load(Some(1.0));
+    assert!(!limit.admits(&full, true, 0.9));
+    assert!(limit.admits_resumed(&full));
+    let twice = LoadAtHost { in_flight: 2.0 * limit.limit(&full), ..full };
+    assert!(!limit.admits_resumed(&twice));
+    assert!(limit.admits_resumed(&LoadAtHost { workers: 0.0, ..twice }));
+}
+
 /// Callers that are rejected together come back together, or too late for their target.
 #[test]
 fn rejected_callers_come_back_spread_within_their_target() {
--- a/crates/anvillift-node/src/entry/overload.rs
+++ b/crates/anvillift-node/src/entry/overload.rs
@@ -69,7 +69,7 @@
     /// Whether a long prompt with time to spare is rejected because requests without it are. It
     /// is not left to the shares of teams: they could reject many short prompts in its place.
     fn is_deferred(&self, view: &FleetView, request: &Request) -> bool {
-        if !has_slack(view, request) {
+        if !has_slack(view, request) || self.resumes_stream(request) {
             return false;
         }
         let mut dispatch = self.dispatch.borrow_mut();
@@ -95,6 +95,7 @@
     ) -> Option<OverloadCause> {
         let is_most_urgent = view.teams.is_most_urgent(&request.service, request.priority);
         if request.origin == Origin::Caller
+            && !self.resumes_stream(request)
             && let Some(backlog) = self.rejecting_backlog(view, request, is_most_urgent)
         {
             return Some(backlog);
@@ -102,7 +103,12 @@
         let mut dispatch = self.dispatch.borrow_mut();
         let draw = dispatch.rng.random();
         let limit = dispatch.concurrency_limits.entry(request.service.clone()).or_default();
-        if limit.admits(load, is_most_urgent, draw) {
+        let is_admitted = if self.resumes_stream(request) {
+            limit.admits_resumed(load)
+        } else {
+            limit.admits(load, is_most_urgent, draw)
+        };
+        if is_admitted {
             return None;
         }
         let cause = OverloadCause::Limit { limit: limit.limit(load) };
--- a/crates/anvillift-node/src/entry/stream_lookup.rs
+++ b/crates/anvillift-node/src/entry/stream_lookup.rs
@@ -99,7 +99,7 @@
     }
 
     /// Whether a request asks for the rest of a stream whose start its caller has.
-    fn resumes_stream(&self, request: &Request) -> bool {
+    pub(super) fn resumes_stream(&self, request: &Request) -> bool {
         let last_event_id = self.node.dialect.headers.last_event_id;
         request.route.kind.is_stream()
             && (request.resumes.is_some() || request.head.headers.contains(last_event_id))
