--- a/crates/anvillift-fleet/src/cold_share.rs
+++ b/crates/anvillift-fleet/src/cold_share.rs
@@ -63,9 +63,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdShare {
     sent: BTreeMap<Name, Window>,
+    /// Time until which what this host sent before its restart may count, in milliseconds.
+    spent_until_ms: u64,
 }
 
 impl ColdShare {
+    /// The share of a host that has restarted. What it sent before is not known, so that its share
+    /// counts as spent for the length of the window.
+    pub fn after_restart(now_ms: u64) -> Self {
+        Self { spent_until_ms: now_ms + WINDOW_MS, ..Self::default() }
+    }
+
     /// Whether a request may go to a cold worker that takes `per_s` requests per
     /// second from all hosts together. If so, the request is counted.
     pub fn take(
@@ -75,6 +83,9 @@
         per_s: f64,
         limit_sharers: &LimitSharers<'_>,
     ) -> bool {
+        if now_ms < self.spent_until_ms {
+            return false;
+        }
         let allowed = limit_sharers.own_share(worker, per_s);
         let sent = self.sent.entry(worker.clone()).or_insert_with(|| Window::new(WINDOW_MS));
         let is_allowed = sent.count(now_ms) < allowed;
--- a/crates/anvillift-fleet/tests/testsuite/cold.rs
+++ b/crates/anvillift-fleet/tests/testsuite/cold.rs
@@ -51,3 +51,22 @@
         .sum();
     assert!(sent <= 13, "{sent} requests, limit 13");
 }
+
+/// Guards against a host that restarts within a second, and spends its share of the rate of a cold
+/// worker once more.
+#[test]
+fn a_share_is_spent_once_over_a_restart() {
+    const RESTARTED_MS: u64 = 500;
+    let (hosts, worker) = (names(1), Name::from(WORKER));
+    let limit_sharers =
+        LimitSharers { own_name: &hosts[0], hosts: &hosts, has_discovered_all_hosts: true };
+    let mut killed = ColdShare::default();
+    let before = (0..RESTARTED_MS).filter(|ms| killed.take(*ms, &worker, 8.0, &limit_sharers));
+    assert_eq!(before.count(), 8);
+    let mut restarted = ColdShare::after_restart(RESTARTED_MS);
+    let sent: Vec<u64> = (RESTARTED_MS..5_000)
+        .filter(|ms| restarted.take(*ms, &worker, 8.0, &limit_sharers))
+        .collect();
+    assert!(sent[0] >= 1_000 + RESTARTED_MS, "the first one at {} ms", sent[0]);
+    assert!(sent.len() >= 16, "{sent:?}");
+}
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -61,9 +61,9 @@
 }
 
 impl DispatchState {
-    pub(crate) fn new(retries: RetryShare, seed: u64) -> Self {
+    pub(crate) fn new(retries: RetryShare, cold: ColdShare, seed: u64) -> Self {
         Self {
-            cold: ColdShare::default(),
+            cold,
             retries,
             rng: SmallRng::seed_from_u64(seed),
             prefix_counts: BTreeMap::new(),
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -65,7 +65,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use anvillift_fleet::{BrokenRequests, ControlFetch, CrashEvidence, RetryShare, seed};
+use anvillift_fleet::{BrokenRequests, ColdShare, ControlFetch, CrashEvidence, RetryShare, seed};
 use anvillift_http::RequestHead;
 use anvillift_schema::name::Name;
 use bytes::Bytes;
@@ -151,6 +151,15 @@
     }
 }
 
+/// This host's share of the request rate of cold workers, which it may have spent before a restart.
+fn cold_share(settings: &NodeSettings) -> ColdShare {
+    if settings.is_first_start {
+        ColdShare::default()
+    } else {
+        ColdShare::after_restart(clock::now_ms())
+    }
+}
+
 impl Entry {
     /// Opens the listening sockets and starts the host's tasks.
     pub(crate) fn start(settings: NodeSettings, dialect: Dialect) -> Result<Rc<Self>, NodeError> {
@@ -158,7 +167,8 @@
         let own_host = node.own_host();
         let seed = seed::of_host(&own_host.name, own_host.boot);
         let cores = node.settings.seed_names().len();
-        let dispatch = RefCell::new(DispatchState::new(retry_share(&node.settings), seed));
+        let (retries, cold) = (retry_share(&node.settings), cold_share(&node.settings));
+        let dispatch = RefCell::new(DispatchState::new(retries, cold, seed));
         let body_memory = BodyMemory::of_machine(node.settings.memory_bytes);
         let entry = Rc::new(Self {
             node,
