--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -17,8 +17,8 @@
 use crate::clock;
 use crate::entry::Entry;
 use crate::entry::attempt::{
-    CALLER_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, STREAM_VERSION_HEADER, TEAM_HEADER,
-    TRIAL_HEADER,
+    CALLER_HEADER, CONFIGURATION_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, SERVICE_HEADER,
+    STREAM_VERSION_HEADER, TEAM_HEADER, TRIAL_HEADER,
 };
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
@@ -48,7 +48,9 @@
         let route = view.routes.find(host, head.path()).cloned();
         let team = self.team_of(&view, configuration, &head, route.as_deref(), origin)?;
         let Some(route) = route else {
-            return Err(RequestFailure::NO_ROUTE);
+            let is_behind = newer_service(&head, origin, configuration.version).is_some();
+            let behind = RequestFailure::CONFIGURATION_BEHIND;
+            return Err(if is_behind { behind } else { RequestFailure::NO_ROUTE });
         };
         if team.as_ref().is_some_and(|team| homes::are_disjoint(&route, team)) {
             return Err(RequestFailure::NO_COMMON_HOME);
@@ -58,9 +60,17 @@
         };
         let requested_ms = head.headers.get(names.deadline_ms).and_then(|text| text.parse().ok());
         let timeout_ms = requested_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-        let draw = self.dispatch.borrow_mut().rng.random();
-        let service = route.target(draw).map(|target| target.service.clone());
-        let service = service.unwrap_or_else(Name::default);
+        let service = match newer_service(&head, origin, configuration.version) {
+            Some(service) if !configuration.services.contains_key(&service) => {
+                return Err(RequestFailure::CONFIGURATION_BEHIND);
+            }
+            Some(service) => service,
+            None => {
+                let draw = self.dispatch.borrow_mut().rng.random();
+                let service = route.target(draw).map(|target| target.service.clone());
+                service.unwrap_or_else(Name::default)
+            }
+        };
         let deadline_ms = arrived_ms + timeout_ms;
         if !self.stop_admits(&route, &service, deadline_ms.saturating_sub(clock::now_ms())) {
             return Err(RequestFailure::DRAINING);
@@ -155,6 +165,8 @@
             TEAM_HEADER,
             STREAM_VERSION_HEADER,
             TRIAL_HEADER,
+            CONFIGURATION_HEADER,
+            SERVICE_HEADER,
         ];
         let framing = ["content-length", "expect", NOT_RUN_HEADER];
         head.headers.retain(|name| {
@@ -170,3 +182,14 @@
     let stated = head.headers.get(STREAM_VERSION_HEADER).filter(|_| origin == Origin::Host);
     stated.map_or(VersionConstraint::Any, |version| VersionConstraint::Only(Name::from(version)))
 }
+
+/// The service that the host which forwards a request has chosen by a newer configuration than this
+/// host has; `None` if this host's own counts.
+fn newer_service(head: &RequestHead, origin: Origin, own_version: u64) -> Option<Name> {
+    if origin != Origin::Host {
+        return None;
+    }
+    let version: u64 = head.headers.get(CONFIGURATION_HEADER)?.parse().ok()?;
+    let service = head.headers.get(SERVICE_HEADER)?;
+    (version > own_version).then(|| Name::from(service))
+}
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -43,6 +43,11 @@
 /// Header field of a forwarded request with the identity of its caller.
 pub(crate) const CALLER_HEADER: &str = "Anvillift-Caller";
 
+/// Header fields of a forwarded request with the version of the configuration by which it was
+/// admitted, and the service that this one gives it.
+pub(crate) const CONFIGURATION_HEADER: &str = "Anvillift-Configuration";
+pub(crate) const SERVICE_HEADER: &str = "Anvillift-Service";
+
 /// Header field of a forwarded request that is a trial although it is quarantined.
 pub(crate) const TRIAL_HEADER: &str = "Anvillift-Trial";
 
@@ -274,6 +279,8 @@
         if target.is_host {
             head.headers.push(FORWARDED_FROM_HEADER, self.node.settings.region.to_string());
             head.headers.push(CALLER_HEADER, request.caller.to_string());
+            head.headers.push(CONFIGURATION_HEADER, request.version.to_string());
+            head.headers.push(SERVICE_HEADER, request.service.to_string());
             if let Some(team) = &request.team {
                 head.headers.push(TEAM_HEADER, team.name.to_string());
             }
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -38,6 +38,10 @@
     pub(crate) const DRAINING: Self = Self::retryable(Code::Draining, 10);
     /// The host that began the stream tells cores about it within this time.
     pub(crate) const STREAM_UNKNOWN: Self = Self::retryable(Code::StreamUnknown, 300);
+    /// The host that has forwarded the request may try another one, which has its configuration.
+    pub(crate) const CONFIGURATION_BEHIND: Self = Self::retryable(Code::NotReady, 800).because(
+        "the forwarding host has a newer configuration, of which this one lacks the service",
+    );
     /// Hosts have different configurations for a few seconds after a change.
     pub(crate) const TEAM_UNKNOWN: Self = Self::retryable(Code::NotReady, 800)
         .because("the forwarding host names a team that is not in the configuration");
@@ -105,7 +109,9 @@
         let code = failure.code;
         let mut reply = self.node.error_reply(code, code.title());
         if origin == Origin::Host && code.outcome() == Outcome::NotRun {
-            let value = if failure == RequestFailure::NO_CONTACT { NOT_SENT } else { "1" };
+            let is_unsent = [RequestFailure::NO_CONTACT, RequestFailure::CONFIGURATION_BEHIND]
+                .contains(&failure);
+            let value = if is_unsent { NOT_SENT } else { "1" };
             reply.headers.push(NOT_RUN_HEADER, value);
         }
         match failure.retry_after_ms {
