Split the worker table and the departures of workers into modules of one type

Change: WorkerEntry, with what a report changes of it, and DepartureLog, the state behind the calls of workers that drain or leave, are modules of their own.

--- a/crates/anvillift-fleet/src/eligibility.rs
+++ b/crates/anvillift-fleet/src/eligibility.rs
@@ -10,8 +10,8 @@
 use anvillift_schema::name::Name;
 
 use crate::version_constraint::VersionConstraint;
+use crate::worker_entry::WorkerEntry;
 use crate::worker_notices::WorkerNotice;
-use crate::worker_table::WorkerEntry;
 
 /// Why a worker may not get a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -12,130 +12,18 @@
 
 use crate::report_limits;
 use crate::version_history::VersionHistory;
+use crate::worker_entry::WorkerEntry;
 use crate::worker_notices::WorkerStart;
 
 /// Time after which a worker without reports is removed, in milliseconds.
 const REMOVE_AFTER_MS: u64 = 120_000;
-
-/// Reports needed before a worker that may have turned cold unnoticed counts as
-/// warm. The next report alone is not enough, since it may have been sent before
-/// the worker turned cold.
-const REPORTS_TO_CONFIRM_WARM: u64 = 2;
-/// Longest time for which a worker counts as cold on suspicion, in milliseconds.
-const MAX_SUSPECTED_COLD_MS: u64 = 6_000;
-
-/// Usual delay of a report, in milliseconds.
-const REPORT_DELAY_MS: u64 = 300;
 /// Time after a worker has started again within which the word that it leaves may come late from
 /// the start before, in milliseconds.
 const LATE_LEAVE_MS: u64 = 3_000;
-/// Time for which a worker that has missed a report is reported as cold, in milliseconds.
-const MISSED_REPORT_COLD_MS: u64 = 3_000;
 /// Time between two checks for silent workers above which this host has stood still, in
 /// milliseconds.
 const MAX_CHECK_INTERVAL_MS: u64 = 1_000;
 
-/// Reports of the same start needed before the version of a worker that was said to have crashed
-/// counts again: the next one may have been sent before.
-const REPORTS_TO_CONFIRM_VERSION: u64 = 2;
-/// Longest time for which the version of such a worker is doubted, in milliseconds.
-const MAX_VERSION_DOUBT_MS: u64 = 6_000;
-
-/// The doubt that a worker still has the version of its last report.
-#[derive(Clone, Copy, Debug)]
-struct VersionDoubt {
-    until_ms: u64,
-    /// Sequence number from which a report of the same start ends the doubt.
-    until_sequence: u64,
-}
-
-/// The state of one worker.
-#[derive(Clone, Debug)]
-pub struct WorkerEntry {
-    /// Newest report of the worker.
-    pub report: FleetWorker,
-    /// Time at which the report arrived.
-    pub last_received_ms: u64,
-    /// Time until which the worker counts as cold.
-    pub cold_until_ms: u64,
-    /// Sequence number from which a report decides whether the worker is cold;
-    /// `None` unless it is suspected to be.
-    confirmed_from_sequence: Option<u64>,
-    /// Whether another worker has started at its address, without a word that it leaves.
-    pub(crate) was_replaced: bool,
-    /// Whether this host has stood still since the report, so that it may be out of date.
-    pub awaits_report: bool,
-    /// Time at which it was first heard after it had started again; `None` if it hasn't, or if a
-    /// late word that it leaves has come since.
-    restarted_ms: Option<u64>,
-    version_doubt: Option<VersionDoubt>,
-}
-
-impl WorkerEntry {
-    /// Whether its start is said to have crashed, so that another version may run under its id.
-    pub fn is_version_doubted(&self, now_ms: u64) -> bool {
-        self.version_doubt.is_some_and(|doubt| doubt.until_ms > now_ms)
-    }
-
-    /// The doubt that is left after a report.
-    fn version_doubt_after(&self, report: &FleetWorker) -> Option<VersionDoubt> {
-        self.version_doubt.filter(|doubt| {
-            report.born_ms == self.report.born_ms && report.sequence < doubt.until_sequence
-        })
-    }
-
-    /// Whether the worker takes new requests.
-    pub fn is_ready(&self) -> bool {
-        self.report.state == FleetWorkerState::Ready
-    }
-
-    /// Whether the worker serves requests that it has, by its last report.
-    fn serves(&self) -> bool {
-        matches!(self.report.state, FleetWorkerState::Ready | FleetWorkerState::Draining)
-    }
-
-    /// The start of the worker that its report describes.
-    pub fn start(&self) -> WorkerStart {
-        WorkerStart { id: self.report.id.clone(), born_ms: self.report.born_ms }
-    }
-
-    /// Whether the worker has left, or another one has its address.
-    pub fn has_left(&self) -> bool {
-        self.report.state == FleetWorkerState::Left
-    }
-
-    /// Whether its reports have stopped, without a word that it leaves.
-    pub(crate) fn is_silent(&self) -> bool {
-        self.report.state == FleetWorkerState::Silent
-    }
-
-    /// The report for a host that has no reports yet, with the remaining cold time
-    /// as of now. A worker that has missed a report may have restarted, so it is
-    /// reported as cold for a while.
-    pub fn to_report(&self, now_ms: u64, report_interval_ms: u64) -> FleetWorker {
-        let mut report = self.report.clone();
-        report.cold_ms = self.cold_until_ms.saturating_sub(now_ms);
-        let age_ms = now_ms.saturating_sub(self.last_received_ms);
-        if age_ms > report_interval_ms * 3 / 2 + REPORT_DELAY_MS {
-            report.cold_ms = report.cold_ms.max(MISSED_REPORT_COLD_MS);
-        }
-        report
-    }
-
-    fn suspect_cold(&mut self, now_ms: u64) {
-        self.confirmed_from_sequence = Some(self.report.sequence + REPORTS_TO_CONFIRM_WARM);
-        self.cold_until_ms = self.cold_until_ms.max(now_ms + MAX_SUSPECTED_COLD_MS);
-    }
-
-    /// Whether the worker remains suspected of being cold after a report, since the
-    /// report is too early to show that it is warm.
-    fn is_suspected_after(&self, report: &FleetWorker) -> bool {
-        let is_confirmed =
-            self.confirmed_from_sequence.is_none_or(|sequence| report.sequence >= sequence);
-        !is_confirmed && report.born_ms == self.report.born_ms && report.cold_ms == 0
-    }
-}
-
 /// The workers by id and by address.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerTable {
@@ -161,31 +49,12 @@
             return false;
         }
         let existing = self.workers.get(&report.id);
-        let is_relevant = existing.is_none_or(|existing| {
-            existing.awaits_report || changes_decisions(&report, existing, now_ms)
-        });
+        let is_relevant = existing.is_none_or(|existing| existing.is_changed_by(&report, now_ms));
         self.history.record(now_ms, &report);
         if let Some(existing) = existing {
             self.history.record(now_ms, &existing.report);
         }
-        let suspected = existing.filter(|existing| existing.is_suspected_after(&report));
-        let confirmed_from_sequence =
-            suspected.and_then(|existing| existing.confirmed_from_sequence);
-        let suspected_until_ms = suspected.map_or(0, |existing| existing.cold_until_ms);
-        let restarted_ms = match existing {
-            Some(existing) if existing.report.born_ms == report.born_ms => existing.restarted_ms,
-            existing => existing.map(|_| now_ms),
-        };
-        let entry = WorkerEntry {
-            cold_until_ms: (now_ms + report.cold_ms).max(suspected_until_ms),
-            last_received_ms: now_ms,
-            confirmed_from_sequence,
-            was_replaced: false,
-            awaits_report: false,
-            restarted_ms,
-            version_doubt: existing.and_then(|existing| existing.version_doubt_after(&report)),
-            report,
-        };
+        let entry = WorkerEntry::after(existing, now_ms, report);
         self.workers.insert(entry.report.id.clone(), entry);
         is_relevant
     }
@@ -230,10 +99,7 @@
         if entry.report.born_ms != start.born_ms || entry.is_version_doubted(now_ms) {
             return false;
         }
-        entry.version_doubt = Some(VersionDoubt {
-            until_ms: now_ms + MAX_VERSION_DOUBT_MS,
-            until_sequence: entry.report.sequence + REPORTS_TO_CONFIRM_VERSION,
-        });
+        entry.doubt_version(now_ms);
         true
     }
 
@@ -351,16 +217,3 @@
         _ => report.sequence > existing.sequence,
     }
 }
-
-fn changes_decisions(report: &FleetWorker, existing: &WorkerEntry, now_ms: u64) -> bool {
-    let old = &existing.report;
-    let was_cold = existing.cold_until_ms > now_ms && !existing.is_suspected_after(report);
-    old.state != report.state
-        || old.born_ms != report.born_ms
-        || old.address != report.address
-        || old.service != report.service
-        || old.version != report.version
-        || existing.confirmed_from_sequence.is_some() && !existing.is_suspected_after(report)
-        || (report.cold_ms > 0) != was_cold
-        || existing.version_doubt.is_some() && existing.version_doubt_after(report).is_none()
-}
--- a/crates/anvillift-node/src/core/departures.rs
+++ b/crates/anvillift-node/src/core/departures.rs
@@ -5,7 +5,7 @@
 //! keeps the call from being acknowledged, and the worker calls again. A worker that this
 //! host doesn't know is left by its id: entry hosts may know it from before this process started.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anvillift_schema::event::Event;
@@ -18,14 +18,11 @@
 
 use crate::clock;
 use crate::core::Core;
+use crate::core::departure_log::Departure;
 
 /// Longest time for which the answer to a worker that drains or leaves waits for
 /// the confirmations of the hosts that may send requests to it.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after the word of an unknown worker that it leaves in which a report that it is ready
-/// was sent before that, in milliseconds.
-const LATE_REPORT_MS: u64 = 3_000;
-
 /// What became of the call of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Effect {
@@ -35,99 +32,6 @@
     NotInEffect(&'static str),
 }
 
-/// What a host confirms: id, start time and sequence number of a worker's report.
-type ReportKey = (Name, u64, u64);
-
-/// The hosts that have yet to confirm a report, and the channel to signal when all have.
-struct Unconfirmed {
-    key: ReportKey,
-    hosts: BTreeSet<Name>,
-    done: Option<oneshot::Sender<()>>,
-}
-
-/// A start of a worker that drains, or that has left.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Departure {
-    id: Name,
-    born_ms: u64,
-    has_left: bool,
-}
-
-impl Departure {
-    fn of(report: &FleetWorker) -> Self {
-        Self {
-            id: report.id.clone(),
-            born_ms: report.born_ms,
-            has_left: report.state == FleetWorkerState::Left,
-        }
-    }
-}
-
-/// A worker that has left and that this host did not know.
-#[derive(Clone, Debug)]
-struct UnknownLeave {
-    leave: FleetLeave,
-    told_ms: u64,
-}
-
-/// The calls that wait for confirmations, and what was confirmed.
-#[derive(Default)]
-pub(crate) struct Departures {
-    /// By a number of this process.
-    waiting: BTreeMap<u64, Unconfirmed>,
-    last_number: u64,
-    confirmed: BTreeSet<Departure>,
-    unknown: Vec<UnknownLeave>,
-}
-
-impl Departures {
-    /// Handles the confirmation of a report by a host.
-    pub(super) fn on_confirmation(&mut self, from: &Name, confirmed: &FleetWorkerAck) {
-        let key = (confirmed.id.clone(), confirmed.born_ms, confirmed.sequence);
-        for waiting in self.waiting.values_mut().filter(|waiting| waiting.key == key) {
-            waiting.hosts.remove(from);
-            if waiting.hosts.is_empty()
-                && let Some(done) = waiting.done.take()
-            {
-                done.send(()).ok();
-            }
-        }
-    }
-
-    /// Whether a report was sent by a worker before it said that it leaves, while this host did not
-    /// know it.
-    pub(super) fn is_late_report(&self, now_ms: u64, report: &FleetWorker) -> bool {
-        let has_left = |unknown: &UnknownLeave| {
-            unknown.leave.id == report.id
-                && unknown.leave.service.as_ref().is_none_or(|service| *service == report.service)
-        };
-        self.recent_unknown(now_ms).any(has_left)
-    }
-
-    fn recent_unknown(&self, now_ms: u64) -> impl Iterator<Item = &UnknownLeave> {
-        self.unknown.iter().filter(move |unknown| unknown.told_ms + LATE_REPORT_MS > now_ms)
-    }
-
-    fn record_unknown(&mut self, now_ms: u64, leave: FleetLeave) {
-        self.unknown
-            .retain(|unknown| unknown.told_ms + LATE_REPORT_MS > now_ms && unknown.leave != leave);
-        self.unknown.push(UnknownLeave { leave, told_ms: now_ms });
-    }
-
-    fn wait(&mut self, key: ReportKey, hosts: BTreeSet<Name>) -> (u64, oneshot::Receiver<()>) {
-        let (done, confirmed) = oneshot::channel();
-        self.last_number += 1;
-        let waiting = Unconfirmed { key, hosts, done: Some(done) };
-        self.waiting.insert(self.last_number, waiting);
-        (self.last_number, confirmed)
-    }
-
-    /// Forgets the starts of workers that are no longer known.
-    fn retain(&mut self, is_known: impl Fn(&Name) -> bool) {
-        self.confirmed.retain(|departure| is_known(&departure.id));
-    }
-}
-
 /// Whether a report says that the worker takes no new requests.
 pub(super) fn is_departing(report: &FleetWorker) -> bool {
     matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left)
@@ -170,7 +74,7 @@
     /// have confirmed it before.
     pub(super) async fn depart(&self, report: FleetWorker, has_changed: bool) -> Effect {
         let departure = Departure::of(&report);
-        if self.departures.borrow().confirmed.contains(&departure) {
+        if self.departures.borrow().is_confirmed(&departure) {
             self.send_report(&self.linked_hosts(FleetHostRole::Core), &report);
             return Effect::InEffect;
         }
@@ -184,7 +88,7 @@
         }
         let effect = self.await_confirmations(number, confirmed, &report.id).await;
         if effect == Effect::InEffect {
-            self.departures.borrow_mut().confirmed.insert(departure);
+            self.departures.borrow_mut().record_confirmed(departure);
         }
         effect
     }
@@ -266,13 +170,10 @@
         confirmed: oneshot::Receiver<()>,
         worker: &Name,
     ) -> Effect {
-        let has_hosts =
-            self.departures.borrow().waiting.get(&number).is_some_and(|it| !it.hosts.is_empty());
-        if has_hosts {
+        if !self.departures.borrow().missing(number).is_empty() {
             time::timeout(CONFIRMATION_TIMEOUT, confirmed).await.ok();
         }
-        let waited = self.departures.borrow_mut().waiting.remove(&number);
-        let missing = waited.map(|waiting| waiting.hosts).unwrap_or_default();
+        let missing = self.departures.borrow_mut().end_wait(number);
         let in_touch = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
         let is_missing = |host: &&FleetHost| missing.contains(&host.name);
         let missing_in_touch = in_touch.iter().filter(is_missing).count();
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod control_log;
 mod crashes;
+mod departure_log;
 mod departures;
 mod gossip;
 mod quota;
@@ -40,7 +41,7 @@
 use tokio::{task, time};
 
 use crate::core::control_log::ControlLog;
-use crate::core::departures::Departures;
+use crate::core::departure_log::DepartureLog;
 pub(crate) use crate::core::departures::{confirmation_frame, leave_confirmation};
 use crate::core::quota::OwnedQuotas;
 use crate::core::saved_crashes::SavedCrashes;
@@ -70,7 +71,7 @@
     /// The control state that this host sends to entry hosts. It may be newer than the one in
     /// force here, so that entry hosts decode a large configuration at the same time.
     published: RefCell<FleetControl>,
-    departures: RefCell<Departures>,
+    departures: RefCell<DepartureLog>,
     /// Start of the process, by the monotonic clock, in milliseconds.
     started_ms: u64,
     crash_evidence: RefCell<CrashEvidence>,
