--- a/crates/anvillift-node/src/core/departures.rs
+++ b/crates/anvillift-node/src/core/departures.rs
@@ -10,7 +10,7 @@
 
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
-    FleetFrame, FleetHost, FleetHostRole, FleetLeave, FleetWorker, FleetWorkerAck, FleetWorkerState,
+    FleetFrame, FleetHostRole, FleetLeave, FleetWorker, FleetWorkerAck, FleetWorkerState,
 };
 use anvillift_schema::name::Name;
 use tokio::sync::oneshot;
@@ -23,6 +23,9 @@
 /// Longest time for which the answer to a worker that drains or leaves waits for
 /// the confirmations of the hosts that may send requests to it.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a wait with that timeout shows that this host has stood still, in milliseconds.
+const MAX_WAIT_MS: u64 = 1_000;
+
 /// What became of the call of a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Effect {
@@ -151,15 +154,27 @@
         self.node.view.borrow().hosts.get(name).is_some_and(|host| host.takes_leaves)
     }
 
-    /// The linked hosts that may send requests to a worker, and the linked cores, which tell others
-    /// about it.
+    /// The hosts that may send requests to a worker and are in touch, and the linked cores, which
+    /// tell others about it.
     fn hosts_sending_to(&self, report: &FleetWorker) -> BTreeSet<Name> {
         let region = self.node.settings.region_of(&report.data_centre);
-        let entries = self.linked_hosts(FleetHostRole::Entry);
+        let in_touch = self.hosts_in_touch();
         let view = self.node.view.borrow();
-        let is_in_region = |name: &Name| view.hosts.get(name).map(|host| &host.region) == region;
+        let sends_there = |name: &Name| {
+            let host = view.hosts.get(name);
+            host.is_some_and(|host| {
+                host.role == FleetHostRole::Entry && Some(&host.region) == region
+            })
+        };
         let cores = self.linked_hosts(FleetHostRole::Core);
-        entries.into_iter().filter(is_in_region).chain(cores).collect()
+        in_touch.into_iter().filter(sends_there).chain(cores).collect()
+    }
+
+    /// The hosts with a link, and those that have been heard lately: their links come up again.
+    fn hosts_in_touch(&self) -> BTreeSet<Name> {
+        let linked = self.node.hub().map(|hub| hub.connected()).unwrap_or_default();
+        let heard = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
+        linked.into_iter().chain(heard.into_iter().map(|host| host.name)).collect()
     }
 
     /// Waits until all hosts have confirmed, or until the timeout. A host that is out of touch is
@@ -170,19 +185,20 @@
         confirmed: oneshot::Receiver<()>,
         worker: &Name,
     ) -> Effect {
+        let began_ms = clock::now_ms();
         if !self.departures.borrow().missing(number).is_empty() {
             time::timeout(CONFIRMATION_TIMEOUT, confirmed).await.ok();
         }
         let missing = self.departures.borrow_mut().end_wait(number);
-        let in_touch = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
-        let is_missing = |host: &&FleetHost| missing.contains(&host.name);
-        let missing_in_touch = in_touch.iter().filter(is_missing).count();
+        let missing_in_touch = self.hosts_in_touch().intersection(&missing).count();
+        // While this host stood still, it heard nobody, and confirmations are still to be read.
+        let has_stood_still = clock::now_ms() > began_ms + MAX_WAIT_MS;
         log::info!(
             event = Event::UpstreamLeft.number(), worker = worker.as_str(),
             unconfirmed = missing.len(), in_touch = missing_in_touch;
             "worker is draining or has left; {} hosts have not confirmed it", missing.len()
         );
-        if missing_in_touch == 0 {
+        if missing.is_empty() || missing_in_touch == 0 && !has_stood_still {
             Effect::InEffect
         } else {
             Effect::NotInEffect("hosts that may send to the worker have not confirmed")
