--- a/crates/anvillift-fleet/src/worker_contact.rs
+++ b/crates/anvillift-fleet/src/worker_contact.rs
@@ -9,11 +9,22 @@
 
 use anvillift_schema::name::Name;
 
-/// Different workers that have to fail, or all of them if there are fewer.
-const MIN_FAILED_WORKERS: usize = 3;
 /// Failures that are needed in all.
 const MIN_FAILURES: u64 = 3;
 
+/// Settings of a contact.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerContactSettings {
+    /// Number of different workers that have to fail, or all of them if there are fewer.
+    pub min_failed_workers: usize,
+}
+
+impl Default for WorkerContactSettings {
+    fn default() -> Self {
+        Self { min_failed_workers: 3 }
+    }
+}
+
 /// Failures of one worker since the newest request that any worker has answered.
 #[derive(Clone, Copy, Debug, Default)]
 struct Failures {
@@ -43,6 +54,7 @@
 /// The contact of this host to the workers of its region.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerContact {
+    settings: WorkerContactSettings,
     /// Time of sending of the newest request that a worker has answered, in milliseconds.
     answered_sent_ms: u64,
     failures: BTreeMap<Name, Failures>,
@@ -50,6 +62,11 @@
 }
 
 impl WorkerContact {
+    /// A contact that is not lost.
+    pub fn new(settings: WorkerContactSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
     /// Whether no worker is reached.
     pub fn is_lost(&self) -> bool {
         self.is_lost
@@ -96,7 +113,7 @@
             *failed.entry(&silent.worker).or_default() += 1;
         }
         let failures: u64 = failed.values().sum();
-        let needed_workers = ready_workers.min(MIN_FAILED_WORKERS);
+        let needed_workers = ready_workers.min(self.settings.min_failed_workers);
         self.is_lost = failed.len() >= needed_workers && failures >= MIN_FAILURES;
         self.is_lost.then_some(ContactChange::Lost)
     }
--- a/crates/anvillift-fleet/tests/testsuite/worker_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/worker_contact.rs
@@ -3,7 +3,9 @@
 use std::iter;
 
 use anvillift_fleet::target_order::{Contact, Way, WayFacts};
-use anvillift_fleet::{ContactChange, SilentWorker, WorkerContact, target_order};
+use anvillift_fleet::{
+    ContactChange, SilentWorker, WorkerContact, WorkerContactSettings, target_order,
+};
 use anvillift_schema::name::Name;
 use rstest::rstest;
 
@@ -40,6 +42,24 @@
     assert_eq!(contact.is_lost(), is_lost);
 }
 
+/// Guards against a host that never concludes that new connections fail, because requests use the
+/// open ones to all but two workers.
+#[rstest]
+#[case::one_worker_fails(&[0, 0, 0, 0], false)]
+#[case::two_fail_once(&[0, 1], false)]
+#[case::two_fail_again(&[0, 1, 0], true)]
+fn two_workers_are_enough_for_new_connections(#[case] failed: &[usize], #[case] is_lost: bool) {
+    let settings = WorkerContactSettings { min_failed_workers: 2 };
+    let mut contact = WorkerContact::new(settings);
+    for (index, number) in failed.iter().enumerate() {
+        contact.record_failure(&worker(*number), 10 + index as u64);
+        update(&mut contact, READY);
+    }
+    assert_eq!(contact.is_lost(), is_lost);
+    let change = contact.record_answer(20);
+    assert_eq!(change, is_lost.then_some(ContactChange::Regained));
+}
+
 /// Guards against failures of a rack that count as a cut while other workers answer, and against
 /// old answers, on their way since before the cut, that hide one.
 #[test]
--- a/crates/anvillift-node/src/entry/contact.rs
+++ b/crates/anvillift-node/src/entry/contact.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use anvillift_fleet::target_order::Contact;
-use anvillift_fleet::{SilentWorker, WorkerContact, WorkerEntry};
+use anvillift_fleet::{SilentWorker, WorkerContact, WorkerContactSettings, WorkerEntry};
 use anvillift_http::{Connection, HeadLimits, HttpError};
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -28,6 +28,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Workers that reported last, of those that are checked each time.
 const NEWEST_CHECKED: usize = 2;
+/// Fewer workers than for all requests have to fail on new connections, because requests reach the
+/// others over connections that are open, and say nothing of new ones.
+const NEW_CONNECTIONS: WorkerContactSettings = WorkerContactSettings { min_failed_workers: 2 };
 
 /// A status check of a worker.
 struct StatusCheck {
@@ -36,7 +39,7 @@
 }
 
 /// What is known of the contact to workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ContactState {
     /// By all requests.
     any: WorkerContact,
@@ -46,6 +49,16 @@
     lost_ms: u64,
 }
 
+impl Default for ContactState {
+    fn default() -> Self {
+        Self {
+            any: WorkerContact::default(),
+            new_connections: WorkerContact::new(NEW_CONNECTIONS),
+            lost_ms: 0,
+        }
+    }
+}
+
 impl ContactState {
     /// How far this host reaches the workers of its region.
     pub(super) fn contact(&self) -> Contact {
