--- a/crates/anvillift-fleet/src/worker_health.rs
+++ b/crates/anvillift-fleet/src/worker_health.rs
@@ -84,6 +84,12 @@
         self.failure_share += (newest - self.failure_share) * NEWEST_WEIGHT;
     }
 
+    /// Forgets the failures of a process that has ended since.
+    pub fn forget_failures(&mut self) {
+        self.score = 0.0;
+        self.failure_share = 0.0;
+    }
+
     /// Whether the worker fails so often that another one is likely to do better.
     /// Some requests fail at every worker, and a retry does not help those.
     pub fn is_failing(&self) -> bool {
--- a/crates/anvillift-node/src/entry/dispatch_state.rs
+++ b/crates/anvillift-node/src/entry/dispatch_state.rs
@@ -11,6 +11,7 @@
     ServedFeatures, StreamSpeeds, SuspectedFeatures, WorkerHealth, WorkerHealthSettings,
     WorkerNotices, WorkerSpeeds, WorkerStart,
 };
+use anvillift_schema::fleet::FleetHost;
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -57,6 +58,8 @@
     pub(crate) answer_timeouts: AnswerTimeouts,
     /// Health of workers and of other entry hosts, by name.
     health: BTreeMap<Name, WorkerHealth>,
+    /// Start times of the hosts at the last decision about each.
+    host_boots: BTreeMap<Name, u64>,
     health_settings: WorkerHealthSettings,
 }
 
@@ -82,6 +85,7 @@
             in_flight_table: InFlightTable::default(),
             answer_timeouts: AnswerTimeouts::default(),
             health: BTreeMap::new(),
+            host_boots: BTreeMap::new(),
             health_settings: WorkerHealthSettings::default(),
         }
     }
@@ -103,6 +107,17 @@
         health.map_or(Degradation::None, |health| health.degradation(now_ms, &self.health_settings))
     }
 
+    /// How degraded another entry host is. Failures before its last start say nothing about it.
+    pub(crate) fn host_degradation(&mut self, now_ms: u64, host: &FleetHost) -> Degradation {
+        let last_boot = self.host_boots.insert(host.name.clone(), host.boot);
+        if last_boot.is_some_and(|boot| boot != host.boot)
+            && let Some(health) = self.health.get_mut(&host.name)
+        {
+            health.forget_failures();
+        }
+        self.degradation(now_ms, &host.name)
+    }
+
     /// Time since which a worker counts as silent, in milliseconds.
     pub(crate) fn silent_since_ms(&self, now_ms: u64, worker: &str) -> Option<u64> {
         self.health.get(worker)?.silent_since_ms(now_ms, &self.health_settings)
@@ -172,6 +187,7 @@
         let is_known =
             |name: &Name| view.workers.get(name).is_some() || view.hosts.get(name).is_some();
         self.health.retain(|name, _| is_known(name));
+        self.host_boots.retain(|name, _| is_known(name));
         self.notices.remove_stale(clock::now_ms(), &view.workers);
         let is_current = |worker: &WorkerStart| {
             let entry = view.workers.get(&worker.id);
--- a/crates/anvillift-node/src/entry/host_target.rs
+++ b/crates/anvillift-node/src/entry/host_target.rs
@@ -69,7 +69,7 @@
         let mut dispatch = self.dispatch.borrow_mut();
         hosts.retain(|host| {
             !attempts.tried.contains(&host.name)
-                && dispatch.degradation(now_ms, &host.name) == Degradation::None
+                && dispatch.host_degradation(now_ms, host) == Degradation::None
         });
         if hosts.is_empty() {
             return None;
