--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -68,6 +68,7 @@
 mod repeat_kind;
 pub mod report_limits;
 mod request_features;
+pub mod resume_wait;
 pub mod retry_after;
 pub mod retry_decision;
 mod retry_share;
--- a/crates/anvillift-fleet/tests/testsuite/main.rs
+++ b/crates/anvillift-fleet/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod quota_simulation;
 mod quotas;
 mod region_contact;
+mod resume_wait;
 mod retries;
 mod retry_decision;
 mod room_share;
--- a/crates/anvillift-node/src/entry/attempts.rs
+++ b/crates/anvillift-node/src/entry/attempts.rs
@@ -20,6 +20,8 @@
     pub(crate) run_count: u32,
     /// Workers of this region that could not be reached.
     pub(crate) unreachable_workers: u32,
+    /// Whether the request has waited for an entry host that reaches its workers.
+    pub(crate) has_waited_for_host: bool,
     /// The software versions whose workers may take the next attempt.
     pub(crate) version_constraint: VersionConstraint,
 }
--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -20,6 +20,7 @@
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::request_progress::RequestProgress;
 use crate::entry::target::Target;
+use crate::entry::wait::WaitOutcome;
 
 impl Entry {
     /// Makes attempts until a response can be relayed or no further attempt is
@@ -35,6 +36,12 @@
         let mut permit = self.begin_trial(request);
         loop {
             let Some(mut target) = self.next_target(request, &attempts) else {
+                if self.may_wait_for_host(request, &attempts) {
+                    match self.wait_for_host(caller, request, &mut attempts).await {
+                        WaitOutcome::Finished => continue,
+                        WaitOutcome::CallerLeft => return ConnectionAction::Close,
+                    }
+                }
                 let end = if attempts.run_count > 0 {
                     FinalOutcome::Unknown
                 } else {
--- a/crates/anvillift-node/src/entry/host_target.rs
+++ b/crates/anvillift-node/src/entry/host_target.rs
@@ -88,7 +88,7 @@
 }
 
 /// The regions in which a request may run and which have workers for it.
-fn serving_regions<'a>(
+pub(super) fn serving_regions<'a>(
     entry: &'a Entry,
     view: &'a FleetView,
     request: &'a Request,
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -101,6 +101,7 @@
     QuarantineReleased = 2739, "warn", "Requests that were refused as crashing workers are sent again";
     ContactLost = 2740, "warn", "This host reaches no worker of its region";
     ContactRegained = 2741, "info", "A worker has answered this host again";
+    StreamWaitedForHost = 2742, "info", "A resumed stream waited for an entry host that reaches workers of its version";
 }
 
 impl Event {
