--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -183,7 +183,7 @@
 pub use verdict::Verdict;
 pub use version_constraint::VersionConstraint;
 pub use window::Window;
-pub use worker_contact::{ContactChange, SilentWorker, WorkerContact, WorkerContactSettings};
+pub use worker_contact::{ContactChange, SilentWorker, WorkerContact};
 pub use worker_entry::WorkerEntry;
 pub use worker_health::{WorkerHealth, WorkerHealthSettings};
 pub use worker_notices::{WorkerNotice, WorkerNotices, WorkerStart};
--- a/crates/anvillift-fleet/src/worker_contact.rs
+++ b/crates/anvillift-fleet/src/worker_contact.rs
@@ -6,25 +6,17 @@
 //! Start at [`WorkerContact::update`].
 
 use std::collections::BTreeMap;
+use std::iter;
 
 use anvillift_schema::name::Name;
 
+/// Different workers that have to fail, or all of them if there are fewer.
+const MIN_FAILED_WORKERS: usize = 3;
+/// The same where the other workers are reached in another way.
+const MIN_FAILED_WORKERS_BESIDE_ANSWERS: usize = 2;
 /// Failures that are needed in all.
 const MIN_FAILURES: u64 = 3;
 
-/// Settings of a contact.
-#[derive(Clone, Copy, Debug)]
-pub struct WorkerContactSettings {
-    /// Number of different workers that have to fail, or all of them if there are fewer.
-    pub min_failed_workers: usize,
-}
-
-impl Default for WorkerContactSettings {
-    fn default() -> Self {
-        Self { min_failed_workers: 3 }
-    }
-}
-
 /// Failures of one worker since the newest request that any worker has answered.
 #[derive(Clone, Copy, Debug, Default)]
 struct Failures {
@@ -54,7 +46,6 @@
 /// The contact of this host to the workers of its region.
 #[derive(Clone, Debug, Default)]
 pub struct WorkerContact {
-    settings: WorkerContactSettings,
     /// Time of sending of the newest request that a worker has answered, in milliseconds.
     answered_sent_ms: u64,
     failures: BTreeMap<Name, Failures>,
@@ -62,11 +53,6 @@
 }
 
 impl WorkerContact {
-    /// A contact that is not lost.
-    pub fn new(settings: WorkerContactSettings) -> Self {
-        Self { settings, ..Self::default() }
-    }
-
     /// Whether no worker is reached.
     pub fn is_lost(&self) -> bool {
         self.is_lost
@@ -97,6 +83,28 @@
         &mut self,
         ready_workers: usize,
         silent: impl Iterator<Item = SilentWorker>,
+    ) -> Option<ContactChange> {
+        self.conclude(ready_workers, MIN_FAILED_WORKERS, silent)
+    }
+
+    /// The same for one way to the workers beside another, `all`, which counts every request. If a
+    /// worker has answered a request that was sent after a failure, the other way works, and
+    /// requests may use it to all workers but those that fail.
+    pub fn update_beside(&mut self, ready_workers: usize, all: &Self) -> Option<ContactChange> {
+        let has_failed_before = |failures: &Failures| failures.last_sent_ms < all.answered_sent_ms;
+        let min_failed_workers = if self.failures.values().any(has_failed_before) {
+            MIN_FAILED_WORKERS_BESIDE_ANSWERS
+        } else {
+            MIN_FAILED_WORKERS
+        };
+        self.conclude(ready_workers, min_failed_workers, iter::empty())
+    }
+
+    fn conclude(
+        &mut self,
+        ready_workers: usize,
+        min_failed_workers: usize,
+        silent: impl Iterator<Item = SilentWorker>,
     ) -> Option<ContactChange> {
         if ready_workers == 0 {
             self.failures.clear();
@@ -113,7 +121,7 @@
             *failed.entry(&silent.worker).or_default() += 1;
         }
         let failures: u64 = failed.values().sum();
-        let needed_workers = ready_workers.min(self.settings.min_failed_workers);
+        let needed_workers = ready_workers.min(min_failed_workers);
         self.is_lost = failed.len() >= needed_workers && failures >= MIN_FAILURES;
         self.is_lost.then_some(ContactChange::Lost)
     }
--- a/crates/anvillift-fleet/tests/testsuite/worker_contact.rs
+++ b/crates/anvillift-fleet/tests/testsuite/worker_contact.rs
@@ -3,9 +3,7 @@
 use std::iter;
 
 use anvillift_fleet::target_order::{Contact, Way, WayFacts};
-use anvillift_fleet::{
-    ContactChange, SilentWorker, WorkerContact, WorkerContactSettings, target_order,
-};
+use anvillift_fleet::{ContactChange, SilentWorker, WorkerContact, target_order};
 use anvillift_schema::name::Name;
 use rstest::rstest;
 
@@ -43,20 +41,32 @@
 }
 
 /// Guards against a host that never concludes that new connections fail, because requests use the
-/// open ones to all but two workers.
+/// open ones to all but two workers; and against one that takes a cut from all workers for that, so
+/// that it goes on sending there.
 #[rstest]
-#[case::one_worker_fails(&[0, 0, 0, 0], false)]
-#[case::two_fail_once(&[0, 1], false)]
-#[case::two_fail_again(&[0, 1, 0], true)]
-fn two_workers_are_enough_for_new_connections(#[case] failed: &[usize], #[case] is_lost: bool) {
-    let settings = WorkerContactSettings { min_failed_workers: 2 };
-    let mut contact = WorkerContact::new(settings);
+#[case::one_worker_fails(&[0, 0, 0, 0], Some(15), false)]
+#[case::two_fail_once(&[0, 1], Some(15), false)]
+#[case::two_fail_again(&[0, 1, 0], Some(15), true)]
+#[case::two_fail_without_answers(&[0, 1, 0], None, false)]
+#[case::two_fail_after_the_answers(&[0, 1, 0], Some(9), false)]
+#[case::three_fail_without_answers(&[0, 1, 2], None, true)]
+fn new_connections_fail_at_two_workers_while_open_ones_live_on(
+    #[case] failed: &[usize],
+    #[case] answered_sent_ms: Option<u64>,
+    #[case] is_lost: bool,
+) {
+    let (mut all, mut new_connections) = (WorkerContact::default(), WorkerContact::default());
     for (index, number) in failed.iter().enumerate() {
-        contact.record_failure(&worker(*number), 10 + index as u64);
-        update(&mut contact, READY);
+        let sent_ms = 10 + index as u64;
+        all.record_failure(&worker(*number), sent_ms);
+        new_connections.record_failure(&worker(*number), sent_ms);
     }
-    assert_eq!(contact.is_lost(), is_lost);
-    let change = contact.record_answer(20);
+    if let Some(sent_ms) = answered_sent_ms {
+        all.record_answer(sent_ms);
+    }
+    new_connections.update_beside(READY, &all);
+    assert_eq!(new_connections.is_lost(), is_lost);
+    let change = new_connections.record_answer(20);
     assert_eq!(change, is_lost.then_some(ContactChange::Regained));
 }
 
--- a/crates/anvillift-node/src/entry/contact.rs
+++ b/crates/anvillift-node/src/entry/contact.rs
@@ -3,13 +3,12 @@
 //! live on while new ones fail.
 
 use std::cmp::Reverse;
-use std::iter;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anvillift_fleet::target_order::Contact;
-use anvillift_fleet::{SilentWorker, WorkerContact, WorkerContactSettings, WorkerEntry};
+use anvillift_fleet::{SilentWorker, WorkerContact, WorkerEntry};
 use anvillift_http::{Connection, HeadLimits, HttpError};
 use anvillift_schema::event::Event;
 use anvillift_schema::name::Name;
@@ -28,9 +27,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Workers that reported last, of those that are checked each time.
 const NEWEST_CHECKED: usize = 2;
-/// Fewer workers than for all requests have to fail on new connections, because requests reach the
-/// others over connections that are open, and say nothing of new ones.
-const NEW_CONNECTIONS: WorkerContactSettings = WorkerContactSettings { min_failed_workers: 2 };
 
 /// A status check of a worker.
 struct StatusCheck {
@@ -39,7 +35,7 @@
 }
 
 /// What is known of the contact to workers.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct ContactState {
     /// By all requests.
     any: WorkerContact,
@@ -49,16 +45,6 @@
     lost_ms: u64,
 }
 
-impl Default for ContactState {
-    fn default() -> Self {
-        Self {
-            any: WorkerContact::default(),
-            new_connections: WorkerContact::new(NEW_CONNECTIONS),
-            lost_ms: 0,
-        }
-    }
-}
-
 impl ContactState {
     /// How far this host reaches the workers of its region.
     pub(super) fn contact(&self) -> Contact {
@@ -155,7 +141,7 @@
         };
         self.change_contact(|state| {
             state.any.update(ready, silent.into_iter());
-            state.new_connections.update(ready, iter::empty());
+            state.new_connections.update_beside(ready, &state.any);
         });
     }
 
