--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -25,7 +25,6 @@
 use crate::entry::Entry;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
-use crate::entry::request_failure::RequestFailure;
 use crate::entry::target::Target;
 use crate::quarantine::features_text;
 
@@ -291,21 +290,4 @@
         let heard = self.node.view.borrow().hosts.direct_hosts(clock::now_ms());
         heard.iter().any(|host| host.role == FleetHostRole::Core && host.shares_quarantine)
     }
-
-    /// The answer to a request that crashes workers.
-    pub(super) fn quarantine_refusal(&self, request: &Request) -> Option<RequestFailure> {
-        if request.is_trial.get() {
-            return None;
-        }
-        let view = self.node.view.borrow();
-        let remaining_ms = view.quarantine.remaining_ms(clock::now_ms(), &request.features)?;
-        metrics::counter!("anvillift_rejected_for_quarantine_total").increment(1);
-        log::info!(
-            event = Event::RequestQuarantined.number(), id = request.id.as_str(),
-            service = request.service.as_str(), parts = request.parts_text(),
-            fingerprint = request.fingerprint_text(), remaining_ms = remaining_ms;
-            "request refused: requests like it crash workers"
-        );
-        Some(RequestFailure::quarantined(remaining_ms))
-    }
 }
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -3,20 +3,22 @@
 //! [`front`] serves the connections of callers and of other entry hosts that
 //! forward requests. [`admit`] checks a request and finds its route; [`forward`]
 //! makes attempts at the targets that [`target`] and [`host_target`] choose, by whether this host
-//! reaches workers ([`contact`]), unless [`deadline`], [`calls`] or
+//! reaches workers ([`contact`]), and keeps [`attempt_records`] of them, unless [`deadline`], [`calls`] or
 //! [`overload`] rejects the request, the last by the share of its team ([`team_shares`]) where
 //! there are teams, or the [`quota`] of its team has no room; [`notices`] keeps what workers say in
 //! their answers. [`relay`] streams the response to the caller, and [`resume`] continues a broken
 //! stream at another worker of its version. A request that resumes a stream goes to the version
-//! that [`stream_lookup`] finds, in what [`stream_version`] has recorded here or told to cores.
-//! [`crashes`] finds out which prompts were in flight at workers that crash, and [`trials`] sends
-//! one of those that are refused for it again. [`planned_stop`] lets
+//! that [`stream_lookup`] finds, in what [`stream_version`] has recorded here or told to cores, and
+//! waits a moment for a host that reaches workers of that version ([`resume_wait`]).
+//! [`crashes`] finds out which prompts were in flight at workers that crash, [`quarantined`] refuses
+//! them, and [`trials`] sends one of those again. [`planned_stop`] lets
 //! requests end, or ends them. The policies behind these decisions are in `anvillift-fleet`.
 
 mod admit;
 mod answer_log;
 mod answer_outcome;
 mod attempt;
+mod attempt_records;
 mod attempts;
 mod body_memory;
 mod calls;
@@ -38,6 +40,7 @@
 mod overload;
 mod planned_stop;
 mod pool;
+mod quarantined;
 mod quota;
 mod read_body;
 mod region_loads;
@@ -48,6 +51,7 @@
 mod request_progress;
 mod response_writer;
 mod resume;
+mod resume_wait;
 mod retries;
 mod served_request;
 mod stream_lookup;
--- a/crates/anvillift-node/src/entry/target.rs
+++ b/crates/anvillift-node/src/entry/target.rs
@@ -20,7 +20,7 @@
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::target_reason::TargetReason;
-use crate::entry::{Entry, eligible};
+use crate::entry::{Entry, eligible, quarantined};
 use crate::fleet_view::FleetView;
 
 /// Fraction of a cold worker's configured rate that the entry hosts use together.
@@ -50,9 +50,7 @@
     /// host can take it.
     pub(crate) fn next_target(&self, request: &Request, attempts: &Attempts) -> Option<Target> {
         let view = self.node.view.borrow();
-        if !request.is_trial.get()
-            && view.quarantine.remaining_ms(clock::now_ms(), &request.features).is_some()
-        {
+        if quarantined::remaining_ms(&view, request).is_some() {
             return None;
         }
         let is_allowed_here = request.allows_region(&self.node.settings.region);
