--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -1,10 +1,10 @@
 //! Two workers are upgraded in place, one after the other; the first status report of the first one
 //! comes late.
 
-#[path = "../common-3/deployment.rs"]
-mod deployment;
 #[path = "../common-3/clients.rs"]
 mod clients;
+#[path = "../common-3/deployment.rs"]
+mod deployment;
 
 use std::collections::BTreeSet;
 use std::thread;
@@ -42,22 +42,31 @@
     thread::sleep(Duration::from_secs(4));
     let front = deployment.address("entry-0", FRONT_PORT);
     let warm: Vec<_> = (0..6)
-        .map(|number| thread::spawn(move || stream(front, &format!("warm-{number}"), "")))
+        .map(|number| thread::spawn(move || stream(front, &format!("warm-{number}"))))
         .collect();
-    let served = warm.into_iter().filter_map(|it| it.join().ok()).filter(|it| it.is_complete).count();
+    let served =
+        warm.into_iter().filter_map(|it| it.join().ok()).filter(|it| it.is_complete).count();
     record.line(&format!("{served} of 6 first streams complete"));
     thread::sleep(Duration::from_millis(500));
 
     if has_trouble() {
         workers.kill("i-two");
         thread::sleep(Duration::from_secs(1));
-        workers.start(&deployment, "i-two", "asistente", 0, 102, "v2", &[("FIRST_REPORT_MS", &late_ms)]);
+        workers.start(
+            &deployment,
+            "i-two",
+            "asistente",
+            0,
+            102,
+            "v2",
+            &[("FIRST_REPORT_MS", &late_ms)],
+        );
         thread::sleep(Duration::from_millis(300));
     }
     let began = Instant::now();
     let streams: Vec<_> = (0..STREAMS)
         .map(|number| {
-            let handle = thread::spawn(move || stream(front, &format!("s-{number}"), ""));
+            let handle = thread::spawn(move || stream(front, &format!("s-{number}")));
             thread::sleep(Duration::from_millis(30));
             handle
         })
@@ -81,7 +90,9 @@
         mixed += usize::from(versions.len() > 1);
         complete += usize::from(answer.is_complete);
     }
-    record.line(&format!("{mixed} of {STREAMS} streams hold events of two versions; {complete} complete"));
+    record.line(&format!(
+        "{mixed} of {STREAMS} streams hold events of two versions; {complete} complete"
+    ));
     workers.copy_runs(&record);
     workers.end();
     deployment.end();
--- a/review/common-3/clients.rs
+++ b/review/common-3/clients.rs
@@ -16,7 +16,14 @@
 /// A configuration with resumable streams (`/consulta/`), streams (`/plan/`), commands (`/orden/`)
 /// and reads (`/estado/`), as on the sheet of the small installation.
 pub fn document(version: u64) -> String {
-    let route = |name: &str, prefix: &str, kind: &str, timeout: u64, target: u64, service: &str, attempts: u32, resumable: bool| {
+    let route = |name: &str,
+                 prefix: &str,
+                 kind: &str,
+                 timeout: u64,
+                 target: u64,
+                 service: &str,
+                 attempts: u32,
+                 resumable: bool| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"riego.example\",\"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":1,\"service\":\"{service}\",\"attempts\":{attempts},\"session_affinity\":false,\"resumable\":{resumable},\"gap_target_ms\":400,\"home_regions\":[]}}"
         )
@@ -72,7 +79,13 @@
             .map(|core| deployment.address(core, CONTROL_PORT).to_string())
             .collect();
         let child = Command::new("target/review-3/worker")
-            .args([id, service, &Self::address(deployment, last).to_string(), ZONES[region], version])
+            .args([
+                id,
+                service,
+                &Self::address(deployment, last).to_string(),
+                ZONES[region],
+                version,
+            ])
             .args(["64", &controls.join(",")])
             .arg(&self.runs)
             .envs(variables.iter().copied())
@@ -96,7 +109,11 @@
 
     pub fn signal(&self, id: &str, signal: &str) {
         if let Some((_, child)) = self.running.iter().find(|(name, _)| name == id) {
-            Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status().ok();
+            Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status()
+                .ok();
             self.record.line(&format!("signal {signal} to worker {id}"));
         }
     }
@@ -126,27 +143,52 @@
     pub status: u16,
     /// Data of the events.
     pub events: Vec<String>,
+    /// Id of the last event.
+    pub last_id: u64,
     pub is_complete: bool,
 }
 
-/// Sends a resumable stream and reads its events.
-pub fn stream(front: SocketAddr, id: &str, fields: &str) -> StreamAnswer {
+/// Pause after which a requester abandons a stream: the longest of two seconds, four times the
+/// target latency of 800 ms and eight times the pause of 400 ms.
+pub const ABANDON_AFTER: Duration = Duration::from_millis(3_200);
+
+/// Time limit of a requester.
+pub const TIME_LIMIT: Duration = Duration::from_millis(5_000);
+
+/// Sends a resumable stream and reads its events, until it ends, breaks off or pauses for too long.
+pub fn stream(front: SocketAddr, id: &str) -> StreamAnswer {
+    let mut answer = StreamAnswer::default();
+    let _ = read_stream(front, id, TIME_LIMIT, "", &mut answer);
+    answer
+}
+
+/// Takes a stream up that another request began.
+pub fn take_up(
+    front: SocketAddr,
+    id: &str,
+    left: Duration,
+    began: &str,
+    last_id: u64,
+) -> StreamAnswer {
     let mut answer = StreamAnswer::default();
-    let _ = read_stream(front, id, fields, &mut answer);
+    let fields = format!("Resumes: {began}\r\nLast-Event-Id: {last_id}\r\n");
+    let _ = read_stream(front, id, left, &fields, &mut answer);
     answer
 }
 
 fn read_stream(
     front: SocketAddr,
     id: &str,
+    left: Duration,
     fields: &str,
     answer: &mut StreamAnswer,
 ) -> std::io::Result<()> {
     let mut socket = TcpStream::connect_timeout(&front, Duration::from_secs(1))?;
     socket.set_nodelay(true)?;
-    socket.set_read_timeout(Some(Duration::from_secs(6)))?;
+    socket.set_read_timeout(Some(ABANDON_AFTER))?;
     let request = format!(
-        "POST /consulta/1 HTTP/1.1\r\nHost: riego.example\r\nX-Anvillift-Request-Id: {id}\r\nX-Anvillift-Deadline: 5000\r\nX-Anvillift-Model: m\r\nX-Anvillift-Token-Counts: 291,45\r\nX-Anvillift-Prompt-Prefix: 5c1e07a2:55,{:x}:236\r\n{fields}Content-Length: 4\r\n\r\nagua",
+        "POST /consulta/1 HTTP/1.1\r\nHost: riego.example\r\nX-Anvillift-Request-Id: {id}\r\nX-Anvillift-Deadline: {}\r\nX-Anvillift-Model: m\r\nX-Anvillift-Token-Counts: 291,45\r\nX-Anvillift-Prompt-Prefix: 5c1e07a2:55,{:x}:236\r\n{fields}Content-Length: 4\r\n\r\nagua",
+        left.as_millis(),
         id.bytes().fold(7u64, |hash, byte| hash.wrapping_mul(31).wrapping_add(byte.into()))
     );
     socket.write_all(request.as_bytes())?;
@@ -180,6 +222,8 @@
             if let Some(data) = event.lines().find_map(|line| line.strip_prefix("data: ")) {
                 answer.events.push(data.to_owned());
             }
+            let id = event.lines().find_map(|line| line.strip_prefix("id: "));
+            answer.last_id = id.and_then(|id| id.parse().ok()).unwrap_or(answer.last_id);
         }
     }
 }
--- a/review/common-3/deployment.rs
+++ b/review/common-3/deployment.rs
@@ -143,7 +143,8 @@
 
 impl Deployment {
     pub fn new(record: &Record) -> Self {
-        let folder = std::env::temp_dir().join(format!("anvillift-review-3-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("anvillift-review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let network = unused_network();
         Self { folder, network, machines: Vec::new(), record: record.clone() }
@@ -182,8 +183,11 @@
             .iter()
             .filter(|machine| machine.role == role && machine.region == region)
             .count();
-        let name =
-            if count == 0 { format!("{role}-{region}") } else { format!("{role}-{region}-{count}") };
+        let name = if count == 0 {
+            format!("{role}-{region}")
+        } else {
+            format!("{role}-{region}-{count}")
+        };
         let ip = self.ip(last);
         self.machines.push(Machine { name: name.clone(), role, region, ip, child: None });
         name
@@ -218,11 +222,8 @@
         let zones: Vec<String> =
             (0..3).map(|index| format!("\"{}\":\"{}\"", ZONES[index], REGIONS[index])).collect();
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let (class, cpu, memory, fds) = if is_core {
-            ("core", 0.3, 256, 4096)
-        } else {
-            ("frontend", 0.25, 260, 4100)
-        };
+        let (class, cpu, memory, fds) =
+            if is_core { ("core", 0.3, 256, 4096) } else { ("frontend", 0.25, 260, 4100) };
         let text = format!(
             "{{\"node_name\":\"{name}\",\"role\":\"{role}\",\"machine_class\":\"{class}\",\"serves\":[],\"ip_address\":\"{ip}\",\"zone\":\"{}\",\"region\":\"{}\",\"zones\":{{{}}},\"listen\":{listen},\"internal_ports\":[7660,7675],\"seeds\":[{}],\"bootstrap\":{bootstrap},\"failure_counted\":{is_core},\"limits\":{{\"cpu_share\":{cpu},\"cores\":1,\"memory_mb\":{memory},\"file_descriptors\":{fds},\"link_mbps\":1000.0,\"disk_mb\":128}},\"data_directory\":{data_text},\"discovery\":\"registration\",\"entry\":\"directory\",\"heartbeat_interval_ms\":1200,\"contracts\":[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"places\"],\"tolerate\":{{\"machines\":1,\"zones\":1,\"regions\":1}},\"bounds\":{BOUNDS},\"configuration_mode\":\"highest\"}}",
             ZONES[region],
@@ -349,7 +350,8 @@
                     Ok(answer) => answer,
                     Err(error) => {
                         let kind = error.kind();
-                        self.record.line(&format!("operator: {method} {path} at {address}: {kind}"));
+                        self.record
+                            .line(&format!("operator: {method} {path} at {address}: {kind}"));
                         break;
                     }
                 };
