--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -17,17 +17,20 @@
 const STREAMS: usize = 12;
 /// Streams of two versions above which the rule is broken.
 const ALLOWED: usize = 2;
+/// The region with two workers.
+const REGION: usize = 2;
+/// How long a worker is down when it is restarted.
+const DOWN: Duration = Duration::from_millis(1_000);
 
 fn main() {
     let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".to_owned());
     let record = Record::create(&path);
+    // How late the first report of the first worker comes after its restart.
     let late_ms = std::env::var("LATE_MS").unwrap_or("2000".to_owned());
     let mut deployment = Deployment::new(&record);
     deployment.start_all(1);
     let mut workers = Workers::new(&deployment);
-    for (id, last) in [("i-one", 101), ("i-two", 102)] {
-        workers.start(&deployment, id, "asistente", 0, last, "v1", &[]);
-    }
+    workers.start_nine(&deployment, &[]);
     let replace = "/-/configuration/replace";
     let cores = ["core-0", "core-1", "core-2"];
     let first = deployment.operate(&cores, "POST", replace, &document(1), Duration::from_secs(20));
@@ -36,31 +39,23 @@
         deployment.end();
         cannot_run(&record, "the first configuration was not accepted");
     }
-    record.line("version 1 acknowledged");
     deployment.wait_ready();
-    // Both workers have been known for a while, and serve.
     thread::sleep(Duration::from_secs(4));
-    let front = deployment.address("entry-0", FRONT_PORT);
+    let front = deployment.address("entry-2", FRONT_PORT);
+    // Both workers of the region have served, and have open channels.
     let warm: Vec<_> = (0..6)
         .map(|number| thread::spawn(move || stream(front, &format!("warm-{number}"))))
         .collect();
-    let served =
-        warm.into_iter().filter_map(|it| it.join().ok()).filter(|it| it.is_complete).count();
-    record.line(&format!("{served} of 6 first streams complete"));
+    let served = warm.into_iter().filter_map(|it| it.join().ok()).filter(|it| it.is_complete);
+    record.line(&format!("{} of 6 first streams complete", served.count()));
     thread::sleep(Duration::from_millis(500));
 
     if has_trouble() {
-        workers.kill("i-two");
-        thread::sleep(Duration::from_secs(1));
-        workers.start(
-            &deployment,
-            "i-two",
-            "asistente",
-            0,
-            102,
-            "v2",
-            &[("FIRST_REPORT_MS", &late_ms)],
-        );
+        let last = Workers::last_octet(REGION, 1);
+        workers.kill("i-2-1");
+        thread::sleep(DOWN);
+        let late = [("FIRST_REPORT_MS", late_ms.as_str())];
+        workers.start(&deployment, "i-2-1", "asistente", REGION, last, "v2", &late);
         thread::sleep(Duration::from_millis(300));
     }
     let began = Instant::now();
@@ -73,14 +68,15 @@
         .collect();
     if has_trouble() {
         thread::sleep(Duration::from_millis(700).saturating_sub(began.elapsed()));
-        workers.kill("i-one");
-        thread::sleep(Duration::from_millis(1000));
-        workers.start(&deployment, "i-one", "asistente", 0, 101, "v2", &[]);
+        let last = Workers::last_octet(REGION, 0);
+        workers.kill("i-2-0");
+        thread::sleep(DOWN);
+        workers.start(&deployment, "i-2-0", "asistente", REGION, last, "v2", &[]);
     }
     let mut mixed = 0;
     let mut complete = 0;
     for (number, handle) in streams.into_iter().enumerate() {
-        let answer = handle.join().unwrap();
+        let Ok(answer) = handle.join() else { continue };
         let versions: BTreeSet<&str> =
             answer.events.iter().filter_map(|event| event.split(' ').next()).collect();
         record.line(&format!(
--- a/review/common-3/clients.rs
+++ b/review/common-3/clients.rs
@@ -47,6 +47,13 @@
     )
 }
 
+/// The same configuration with one home region of the resumable streams.
+pub fn document_with_home(version: u64, home: &str) -> String {
+    // The route of these streams comes first.
+    let homes = format!("\"home_regions\":[\"{home}\"]");
+    document(version).replacen("\"home_regions\":[]", &homes, 1)
+}
+
 /// The stand-in workers of a script.
 pub struct Workers {
     running: Vec<(String, Child)>,
@@ -98,6 +105,22 @@
         self.running.push((id.to_owned(), child));
     }
 
+    /// The nine workers of the sheet: four, three and two in the regions, of version v1. Their ids are
+    /// `i-REGION-NUMBER`.
+    pub fn start_nine(&mut self, deployment: &Deployment, variables: &[(&str, &str)]) {
+        for (region, count) in [4, 3, 2].into_iter().enumerate() {
+            for number in 0..count {
+                let id = format!("i-{region}-{number}");
+                let last = Self::last_octet(region, number);
+                self.start(deployment, &id, "asistente", region, last, "v1", variables);
+            }
+        }
+    }
+
+    pub fn last_octet(region: usize, number: u8) -> u8 {
+        101 + 10 * region as u8 + number
+    }
+
     pub fn kill(&mut self, id: &str) {
         if let Some(position) = self.running.iter().position(|(name, _)| name == id) {
             let (_, mut child) = self.running.remove(position);
