Add a review case: an entry host hangs on empty lines

Cause: a response that begins with empty lines passes the check for a complete head, so that its size isn't checked, and the parser takes nothing from the buffer. The entry host reads and parses on without a limit on its only thread.

--- a/review/common-3/worker.rs
+++ b/review/common-3/worker.rs
@@ -2,7 +2,8 @@
 //! runs to a file. Standard library only.
 //!
 //! Arguments: ID SERVICE ADDRESS ZONE VERSION SLOTS CONTROL[,CONTROL..] RUNS_FILE
-//! Variables: FIRST_REPORT_MS (0), EVENTS (10), GAP_MS (150), WORK_MS (60), REPORT_STATE (ready)
+//! Variables: FIRST_REPORT_MS (0), EVENTS (10), GAP_MS (150), WORK_MS (60), BLANK_LINES (0; 1: it
+//! answers requests with empty lines until the caller closes)
 
 #[path = "deployment.rs"]
 mod deployment;
@@ -129,6 +130,12 @@
                 "X-Anvillift-Request-Id: {id}\r\nX-Anvillift-Response-Stamp: stamp-{}-{id}\r\n",
                 self.id
             );
+            if number("BLANK_LINES", 0) == 1 {
+                let lines = b"\r\n".repeat(4096);
+                loop {
+                    stream.write_all(&lines)?;
+                }
+            }
             if path.starts_with("/consulta/") || path.starts_with("/plan/") {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\n{common}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
