--- a/review/common-3/worker.rs
+++ b/review/common-3/worker.rs
@@ -2,8 +2,8 @@
 //! runs to a file. Standard library only.
 //!
 //! Arguments: ID SERVICE ADDRESS ZONE VERSION SLOTS CONTROL[,CONTROL..] RUNS_FILE
-//! Variables: FIRST_REPORT_MS (0), EVENTS (10), GAP_MS (150), WORK_MS (60), BLANK_LINES (0; 1: it
-//! answers requests with empty lines until the caller closes)
+//! Variables: FIRST_REPORT_MS (0), EVENTS (10), GAP_MS (150), WORK_MS (60), BLANK_LINES (0: how
+//! many requests, its first ones, it answers with empty lines until the caller closes)
 
 #[path = "deployment.rs"]
 mod deployment;
@@ -11,6 +11,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -30,6 +31,7 @@
     events: u64,
     gap: Duration,
     work: Duration,
+    requests: AtomicU64,
 }
 
 fn number(name: &str, default: u64) -> u64 {
@@ -57,6 +59,7 @@
         events: number("EVENTS", 10),
         gap: Duration::from_millis(number("GAP_MS", 150)),
         work: Duration::from_millis(number("WORK_MS", 60)),
+        requests: AtomicU64::new(0),
     });
     let listener = TcpListener::bind(address).expect("a listening socket");
     let reporter = Arc::clone(&worker);
@@ -130,7 +133,7 @@
                 "X-Anvillift-Request-Id: {id}\r\nX-Anvillift-Response-Stamp: stamp-{}-{id}\r\n",
                 self.id
             );
-            if number("BLANK_LINES", 0) == 1 {
+            if self.requests.fetch_add(1, Ordering::Relaxed) < number("BLANK_LINES", 0) {
                 let lines = b"\r\n".repeat(4096);
                 loop {
                     stream.write_all(&lines)?;
