--- a/crates/anvillift-consensus/src/change.rs
+++ b/crates/anvillift-consensus/src/change.rs
@@ -10,7 +10,10 @@
 use crate::effect::Effect;
 use crate::propose_error::ProposeError;
 use crate::replica::Replica;
-use crate::role::Role;
+use crate::role::{RemovedReplica, Role};
+
+/// Time for which a removed replica still receives the log, in election timeouts.
+const REMOVED_TIMEOUTS: u64 = 3;
 
 /// Reasons for which a membership change is rejected.
 #[derive(Clone, Debug, Eq, PartialEq, snafu::Snafu)]
@@ -67,7 +70,8 @@
         Ok(())
     }
 
-    /// Removes a voter or a learner from the group. Fails with
+    /// Removes a voter or a learner from the group. It still receives the log for a few
+    /// election timeouts, so that it learns when its removal is committed. Fails with
     /// [`MembershipChangeError::LastVoter`] if the replica is the only voter.
     pub fn remove_replica(
         &mut self,
@@ -85,6 +89,10 @@
         }
         voters.voters.retain(|other| other != replica);
         voters.learners.retain(|other| other != replica);
+        let until_ms = now_ms + REMOVED_TIMEOUTS * self.settings.election_timeout_ms;
+        if let Role::Leader(leadership) = &mut self.role {
+            leadership.removed = Some(RemovedReplica { replica: replica.clone(), until_ms });
+        }
         self.append_as_leader(now_ms, EntryBody::Voters(voters));
         Ok(self.tick(now_ms))
     }
--- a/crates/anvillift-consensus/src/leader.rs
+++ b/crates/anvillift-consensus/src/leader.rs
@@ -56,7 +56,7 @@
 
     /// Updates the set of tracked replicas after a membership change.
     fn track_replicas(&mut self) {
-        let others = self.other_replicas();
+        let others = self.followers();
         let next_index = self.log.last_index();
         let Role::Leader(leadership) = &mut self.role else { return };
         let mut progress = BTreeMap::new();
@@ -74,8 +74,34 @@
         all.filter(|replica| **replica != self.identity).cloned().collect()
     }
 
+    /// The replicas that receive the log: the members, and one that was removed just now.
+    fn followers(&self) -> Vec<Voter> {
+        let mut followers = self.other_replicas();
+        if let Some(removed) = self.removed_replica()
+            && !followers.contains(removed)
+        {
+            followers.push(removed.clone());
+        }
+        followers
+    }
+
+    fn removed_replica(&self) -> Option<&Voter> {
+        let Role::Leader(leadership) = &self.role else { return None };
+        leadership.removed.as_ref().map(|removed| &removed.replica)
+    }
+
+    /// Ends the replication to a removed replica once its time is over.
+    fn tick_removed(&mut self, now_ms: u64) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if leadership.removed.as_ref().is_some_and(|removed| now_ms >= removed.until_ms) {
+            leadership.removed = None;
+            self.track_replicas();
+        }
+    }
+
     pub(crate) fn tick_leader(&mut self, now_ms: u64) {
         self.tick_transfer(now_ms);
+        self.tick_removed(now_ms);
         self.tick_learners(now_ms);
         let Role::Leader(leadership) = &mut self.role else { return };
         if now_ms >= leadership.heartbeat_due_ms {
@@ -87,7 +113,7 @@
     /// Sends each replica the entries that it lacks. With `heartbeat`, a message
     /// is sent even if there are none.
     pub(crate) fn replicate(&mut self, now_ms: u64, heartbeat: bool) {
-        for replica in self.other_replicas() {
+        for replica in self.followers() {
             self.replicate_to(now_ms, &replica, heartbeat);
         }
     }
@@ -157,9 +183,9 @@
         self.send(replica, message);
     }
 
-    /// Checks that a response comes from a member of the group in the current
-    /// term, and records the send time of the request for the lease. Enters the
-    /// newer term if the response carries one.
+    /// Checks that a response comes from a follower in the current term, and records
+    /// the send time of the request for the lease. Enters the newer term if the
+    /// response of a member carries one.
     pub(crate) fn accept_response(
         &mut self,
         now_ms: u64,
@@ -171,7 +197,8 @@
         if is_member && term > self.vote.term {
             self.enter_term(now_ms, term);
         }
-        let is_current = is_member && term == self.vote.term;
+        let is_follower = is_member || self.removed_replica() == Some(from);
+        let is_current = is_follower && term == self.vote.term;
         let Role::Leader(leadership) = &mut self.role else { return false };
         if let Some(progress) = leadership.progress.get_mut(&Self::key(from))
             && is_current
--- a/crates/anvillift-consensus/src/replica.rs
+++ b/crates/anvillift-consensus/src/replica.rs
@@ -244,6 +244,7 @@
             commit_index: self.commit_index,
             last_index: self.log.last_index(),
             voters: self.log.voters().clone(),
+            voters_index: self.log.voters_index(),
             refetching: self.refetch_upto.is_some(),
         }
     }
--- a/crates/anvillift-consensus/src/role.rs
+++ b/crates/anvillift-consensus/src/role.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use anvillift_schema::consensus::Voter;
 use anvillift_schema::name::Name;
 
 use crate::progress::Progress;
@@ -54,6 +55,17 @@
     /// Set during a leadership transfer: the time at which the leader steps down
     /// even if no voter has caught up.
     pub(crate) transfer_deadline_ms: Option<u64>,
+    /// The replica that was removed last. It still receives the log for a short time, so
+    /// that it learns that its removal is committed.
+    pub(crate) removed: Option<RemovedReplica>,
+}
+
+/// A replica that is no longer a member of the group.
+#[derive(Clone, Debug)]
+pub(crate) struct RemovedReplica {
+    pub(crate) replica: Voter,
+    /// Time until which it receives the log.
+    pub(crate) until_ms: u64,
 }
 
 /// A read that waits until a majority confirms the leadership.
--- a/crates/anvillift-consensus/src/status.rs
+++ b/crates/anvillift-consensus/src/status.rs
@@ -20,6 +20,8 @@
     pub last_index: u64,
     /// Newest voters and learners in the log, committed or not.
     pub voters: VoterSet,
+    /// Index of the entry or snapshot that holds these voters.
+    pub voters_index: u64,
     /// Whether entries lost from a damaged log are still being received again.
     pub refetching: bool,
 }
--- a/crates/anvillift-consensus/tests/testsuite/leadership.rs
+++ b/crates/anvillift-consensus/tests/testsuite/leadership.rs
@@ -154,6 +154,30 @@
     assert!(cluster.answered.contains_key(&request_id));
 }
 
+/// Guards against a host that stops before its removal holds: a leader that sends a removed
+/// replica nothing more leaves it unaware of the commitment.
+#[test]
+fn a_removed_replica_learns_that_its_removal_is_committed() {
+    let (mut cluster, leader) = start_with_leader(4, SEED);
+    let removed = follower(&cluster, &leader);
+    let storage_id = cluster.nodes[&removed].storage_id.clone();
+    let identity = Voter { host: removed.clone(), storage_id };
+    cluster.call(&leader, |replica, now_ms| {
+        replica.remove_replica(now_ms, &identity).expect("an accepted change")
+    });
+    cluster.run(20);
+    let status = replica(&cluster, &removed).status();
+    assert!(!status.voters.voters.contains(&identity), "voters: {:?}", status.voters);
+    assert!(status.commit_index >= status.voters_index, "the removal is not committed there");
+
+    cluster.run(ELECTION_TIMEOUT_MS as u32);
+    let request = cluster.propose(&leader);
+    cluster.run(20);
+    assert!(cluster.answered.contains_key(&request), "the others form a majority");
+    let last_index = replica(&cluster, &removed).status().last_index;
+    assert_eq!(last_index, status.last_index, "the removed replica still receives the log");
+}
+
 #[test]
 fn a_follower_far_behind_catches_up_by_a_snapshot() {
     let (mut cluster, leader) = start_with_leader(3, SEED);
--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -194,10 +194,16 @@
         self.hosts.values().map(move |record| (&record.host, alive(record)))
     }
 
-    /// Time since the last message from or report about a host, in milliseconds;
-    /// `None` if the host is not in the table.
-    pub fn silent_ms(&self, now_ms: u64, name: &str) -> Option<u64> {
-        self.hosts.get(name).map(|record| now_ms.saturating_sub(record.last_seen_ms))
+    /// Time since the last message over the link of a host, in milliseconds; `None` if
+    /// there was none. Reports of other hosts about it don't count.
+    pub fn direct_silence_ms(&self, now_ms: u64, name: &str) -> Option<u64> {
+        let last_direct_ms = self.hosts.get(name)?.last_direct_ms?;
+        Some(now_ms.saturating_sub(last_direct_ms))
+    }
+
+    /// Whether messages arrive over the link of a host.
+    pub fn is_direct(&self, now_ms: u64, name: &str) -> bool {
+        self.hosts.get(name).is_some_and(|record| record.is_direct(now_ms))
     }
 
     /// The description of a host.
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -169,11 +169,16 @@
         self.group.remove_replica(replica.clone()).await
     }
 
-    /// Transfers leadership if this replica leads, and closes the storage.
-    pub(crate) async fn stop(&self) {
+    /// Transfers leadership if this replica leads.
+    pub(crate) async fn hand_over(&self) {
         if self.is_leader() {
             self.group.step_down().await;
         }
+    }
+
+    /// Transfers leadership if this replica leads, and closes the storage.
+    pub(crate) async fn stop(&self) {
+        self.hand_over().await;
         self.group.stop().await;
     }
 }
--- a/crates/anvillift-node/src/core/gossip.rs
+++ b/crates/anvillift-node/src/core/gossip.rs
@@ -1,9 +1,7 @@
 //! Frames that a core host sends on its own: host lists, region loads and control
-//! versions. Also changes of the control group's voters and its metrics.
+//! versions.
 
-use anvillift_fleet::core_roster::{LeaderView, RosterChange};
-use anvillift_fleet::{core_roster, directory};
-use anvillift_schema::consensus::Voter;
+use anvillift_fleet::directory;
 use anvillift_schema::event::Event;
 use anvillift_schema::fleet::{
     FleetControl, FleetControlPosition, FleetFrame, FleetHost, FleetHostRole, FleetHosts,
@@ -182,50 +180,4 @@
             hub.send(&name, frame.clone());
         }
     }
-
-    /// Starts the next change of the voters, if this host leads the group.
-    pub(super) async fn change_voters(&self) {
-        if !self.log.is_leader() || self.node.is_leaving() {
-            return;
-        }
-        let own_name = self.node.own_host().name;
-        let status = self.log.status();
-        let (voters, led_duration) = (&status.voters, status.time_as_leader().unwrap_or_default());
-        let change = {
-            let view = self.node.view.borrow();
-            let leader_view = LeaderView {
-                own_name: &own_name,
-                hosts: &view.hosts,
-                now_ms: clock::now_ms(),
-                leader_for_ms: led_duration.as_millis() as u64,
-            };
-            core_roster::next_change(&leader_view, voters)
-        };
-        let (replica, result) = match &change {
-            None => return,
-            Some(RosterChange::Add(replica)) => {
-                (replica, self.log.add_learner(replica.clone()).await)
-            }
-            Some(RosterChange::Remove(replica)) => {
-                (replica, self.log.remove_replica(replica).await)
-            }
-        };
-        let outcome = result.map_or_else(|error| error.to_string(), |()| "begun".to_owned());
-        log::info!(
-            event = Event::VotersChanged.number(), replica = replica.host.as_str(),
-            storage = replica.storage_id.as_str(), voters = voters.voters.len(), outcome = outcome;
-            "change of the voters: {change:?}"
-        );
-    }
-
-    /// Sets the metrics of the control group's voters, as seen by this replica.
-    pub(super) fn export_voter_metrics(&self) {
-        let voters = self.log.status().voters;
-        let own_host = self.node.own_host();
-        let own = Voter { host: own_host.name, storage_id: own_host.storage_id };
-        let is_voter = voters.voters.contains(&own);
-        metrics::gauge!("anvillift_control_voters").set(voters.voters.len() as f64);
-        metrics::gauge!("anvillift_control_learners").set(voters.learners.len() as f64);
-        metrics::gauge!("anvillift_control_votes").set(f64::from(u8::from(is_voter)));
-    }
 }
--- a/crates/anvillift-node/src/core/mod.rs
+++ b/crates/anvillift-node/src/core/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! [`calls`] answers operators, workers and callers; [`reports`] relays workers'
 //! reports to the other hosts, and [`departures`] those of workers that drain or leave; [`control_log`] runs the replica; [`gossip`] sends
-//! host lists, region loads and control versions, and changes the voters; [`streams`]
+//! host lists, region loads and control versions; [`voters`] changes the voters; [`streams`]
 //! remembers which version began a stream; [`crashes`] finds parts of prompts that crash
 //! workers, [`saved_crashes`] and [`saved_quarantine`] keep what they know across restarts, and
 //! [`trials`] lets one of the refused requests be tried;
@@ -21,6 +21,7 @@
 mod saved_quarantine;
 mod streams;
 mod trials;
+mod voters;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -59,8 +60,11 @@
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 /// Housekeeping ticks between two removals of old crashes.
 const CLEANUP_TICKS: u64 = 8;
-/// Longest time for a planned stop to transfer leadership and close the storage.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Part of the grace period that is kept for closing the storage, for the last answers and for the
+/// process to exit.
+const CLOSE_RESERVE: Duration = Duration::from_millis(3_000);
+/// Longest time for a planned stop to close the storage.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Longest time for the answers to the calls that wait for the control log when it is closed.
 const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -235,14 +239,14 @@
         }
     }
 
-    /// Announces the planned stop, transfers leadership and closes the storage.
+    /// Announces the planned stop, hands over control and closes the storage.
     pub(crate) async fn stop(&self) {
         self.node.leave();
         log::info!(event = Event::HostDraining.number(); "planned stop started");
-        if time::timeout(HANDOVER_TIMEOUT, self.log.stop()).await.is_err() {
-            log::warn!(
-                "control log not closed within {HANDOVER_TIMEOUT:?}; leadership may not be transferred"
-            );
+        let grace = Duration::from_millis(self.node.settings.grace_ms);
+        self.hand_over(grace.saturating_sub(CLOSE_RESERVE)).await;
+        if time::timeout(CLOSE_TIMEOUT, self.log.stop()).await.is_err() {
+            log::warn!("control log not closed within {CLOSE_TIMEOUT:?}");
         }
         self.node.calls.wait_until_answered(LAST_ANSWERS_TIMEOUT).await;
     }
--- a/crates/anvillift-replication/src/status.rs
+++ b/crates/anvillift-replication/src/status.rs
@@ -19,6 +19,8 @@
     pub commit_index: u64,
     /// Newest voters and learners in the log, committed or not.
     pub voters: VoterSet,
+    /// Index of the entry or snapshot that holds these voters.
+    pub voters_index: u64,
     /// Whether entries lost from a damaged log are still being received again.
     pub refetching: bool,
     /// Whether the storage failed. The replica does nothing until the storage can be opened
@@ -36,6 +38,11 @@
         self.leader_since.map(|since| since.elapsed())
     }
 
+    /// Whether the newest voters in the log are committed.
+    pub fn are_voters_committed(&self) -> bool {
+        self.commit_index >= self.voters_index
+    }
+
     pub(crate) fn new(status: ReplicaStatus, failed: bool) -> Self {
         Self {
             role: if failed { RoleKind::Follower } else { status.role },
@@ -43,6 +50,7 @@
             term: status.term,
             commit_index: status.commit_index,
             voters: status.voters,
+            voters_index: status.voters_index,
             refetching: status.refetching,
             failed,
             leader_since: None,
