--- a/crates/anvillift-fleet/src/stream_origin.rs
+++ b/crates/anvillift-fleet/src/stream_origin.rs
@@ -2,10 +2,8 @@
 //! in mind.
 //!
 //! A record of the stream decides. Without one a host knows which versions the service has
-//! had, since its start at most. It tells cores about the streams that it begins unless it has
-//! run for as long as a stream may last, hears every region, and has seen one version only. For
-//! a stream that another host began, what one host knows isn't enough, see
-//! [`StreamLookup`](crate::StreamLookup).
+//! had, since its start at most. For a stream that another host began, what one host knows
+//! isn't enough, see [`StreamLookup`](crate::StreamLookup).
 
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetStreamEvidence};
 use anvillift_schema::name::Name;
@@ -40,14 +38,6 @@
 }
 
 impl OriginFacts<'_> {
-    /// The version that must have begun every recent stream of a service, or `None`
-    /// if there may have been another one.
-    pub fn certain_version(&self, service: &str) -> Option<Name> {
-        let known = self.only_version(service)?;
-        let is_certain = known.evidence == FleetStreamEvidence::OnlyVersionForRetention;
-        is_certain.then_some(known.version)
-    }
-
     /// The only version of a service that this host has seen for as long as a stream may last,
     /// or since its start; `None` if there were several, or none.
     pub fn only_version(&self, service: &str) -> Option<KnownVersion> {
--- a/crates/anvillift-fleet/src/stream_versions.rs
+++ b/crates/anvillift-fleet/src/stream_versions.rs
@@ -2,8 +2,8 @@
 //!
 //! Workers of two versions write streams that don't fit together, so a stream that
 //! its caller takes up again may go on only at the version that began it. Entry hosts
-//! record each resumable stream here, and tell cores about those whose version
-//! can't be derived otherwise, since the caller may come back to another host.
+//! record each resumable stream here and tell cores about it, since the caller may come
+//! back to another host.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -37,12 +37,10 @@
     /// Streams in the order in which they were recorded. One that was recorded again
     /// stands here more than once.
     by_age: VecDeque<(u64, StreamKey)>,
-    /// Streams that this host has relayed, by service.
-    relayed: BTreeMap<Name, BTreeSet<StreamKey>>,
+    /// Streams that this host has relayed.
+    relayed: BTreeSet<StreamKey>,
     /// Those that cores have not been told about.
-    unannounced: BTreeMap<Name, BTreeSet<StreamKey>>,
-    /// Those that have lasted for so long that cores are told in any case.
-    lasting: BTreeSet<StreamKey>,
+    unannounced: BTreeSet<StreamKey>,
 }
 
 impl StreamVersions {
@@ -56,47 +54,38 @@
         }
     }
 
-    /// Marks a stream of a service as one that this host relays and that cores have not been
-    /// told about.
-    pub fn mark_unannounced(&mut self, service: &Name, stream: StreamKey) {
-        self.relayed.entry(service.clone()).or_default().insert(stream);
-        self.unannounced.entry(service.clone()).or_default().insert(stream);
+    /// Records which version began a stream that this host relays, or that the stream goes on
+    /// there. Cores have to be told about it.
+    pub fn record_relayed(&mut self, now_ms: u64, stream: StreamKey, version: &Name) {
+        self.record(now_ms, stream, version);
+        self.relayed.insert(stream);
+        self.unannounced.insert(stream);
     }
 
-    /// Marks a stream as one that lasts: cores are told of it whatever versions its service has,
-    /// since this host may stand still before it hears of another version.
-    pub fn mark_lasting(&mut self, stream: StreamKey) {
-        self.lasting.insert(stream);
+    /// The version that began a stream, or `None` if it isn't recorded.
+    pub fn version(&self, stream: StreamKey) -> Option<&Name> {
+        self.records.get(&stream).map(|record| &record.version)
     }
 
-    /// Marks all streams that this host has relayed as unannounced, since a core has started
-    /// anew and has forgotten them.
-    pub fn mark_all_unannounced(&mut self) {
-        self.unannounced.clone_from(&self.relayed);
+    /// The streams that cores have not been told about, by version. Each is returned once.
+    pub fn take_unannounced(&mut self) -> BTreeMap<Name, Vec<StreamKey>> {
+        let streams = std::mem::take(&mut self.unannounced);
+        self.by_version(&streams)
     }
 
-    /// The version that began a stream, or `None` if it isn't recorded.
-    pub fn version(&self, stream: StreamKey) -> Option<&Name> {
-        self.records.get(&stream).map(|record| &record.version)
+    /// All streams that this host has relayed, by version.
+    pub fn relayed(&self) -> BTreeMap<Name, Vec<StreamKey>> {
+        self.by_version(&self.relayed)
     }
 
-    /// Removes the marks of the unannounced streams that last, and of all of the services for
-    /// which `is_due` returns true, and returns these streams by version.
-    pub fn take_unannounced(
-        &mut self,
-        is_due: impl Fn(&Name) -> bool,
-    ) -> BTreeMap<Name, Vec<StreamKey>> {
-        let mut due: BTreeMap<Name, Vec<StreamKey>> = BTreeMap::new();
-        for (service, streams) in &mut self.unannounced {
-            let is_service_due = is_due(service);
-            let taken = |stream: &StreamKey| is_service_due || self.lasting.contains(stream);
-            for stream in streams.extract_if(.., |stream| taken(stream)) {
-                if let Some(record) = self.records.get(&stream) {
-                    due.entry(record.version.clone()).or_default().push(stream);
-                }
+    fn by_version(&self, streams: &BTreeSet<StreamKey>) -> BTreeMap<Name, Vec<StreamKey>> {
+        let mut groups: BTreeMap<Name, Vec<StreamKey>> = BTreeMap::new();
+        for stream in streams {
+            if let Some(version) = self.version(*stream) {
+                groups.entry(version.clone()).or_default().push(*stream);
             }
         }
-        due
+        groups
     }
 
     /// Forgets streams that were recorded more than `retention_ms` ago.
@@ -108,19 +97,14 @@
         {
             self.forget_oldest();
         }
-        for by_service in [&mut self.relayed, &mut self.unannounced] {
-            for streams in by_service.values_mut() {
-                streams.retain(|stream| self.records.contains_key(stream));
-            }
-            by_service.retain(|_, streams| !streams.is_empty());
-        }
-        self.lasting.retain(|stream| self.records.contains_key(stream));
     }
 
     fn forget_oldest(&mut self) {
         let Some((recorded_ms, stream)) = self.by_age.pop_front() else { return };
         if self.records.get(&stream).is_some_and(|record| record.recorded_ms == recorded_ms) {
             self.records.remove(&stream);
+            self.relayed.remove(&stream);
+            self.unannounced.remove(&stream);
         }
     }
 }
--- a/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
+++ b/crates/anvillift-fleet/tests/testsuite/stream_origin.rs
@@ -6,7 +6,7 @@
     stream_origin,
 };
 use anvillift_schema::fleet::{
-    FleetHost, FleetHostRole, FleetHostState, FleetWorker, FleetWorkerState,
+    FleetHost, FleetHostRole, FleetHostState, FleetStreamEvidence, FleetWorker, FleetWorkerState,
 };
 use anvillift_schema::name::Name;
 use rstest::rstest;
@@ -63,7 +63,14 @@
 fn certain_version(workers: &WorkerTable, hosts: &HostTable, now_ms: u64) -> Option<Name> {
     let facts =
         OriginFacts { workers, hosts, now_ms, started_ms: 0, retention_ms: Some(RETENTION_MS) };
-    facts.certain_version("chat")
+    certain_version_by(&facts)
+}
+
+/// The version that must have begun every recent stream, if the host can be sure by itself.
+fn certain_version_by(facts: &OriginFacts<'_>) -> Option<Name> {
+    let known = facts.only_version("chat")?;
+    let is_certain = known.evidence == FleetStreamEvidence::OnlyVersionForRetention;
+    is_certain.then_some(known.version)
 }
 
 /// Guards against a version that is taken for certain though a worker of another one
@@ -132,10 +139,10 @@
         started_ms: 0,
         retention_ms: Some(RETENTION_MS),
     };
-    assert!(facts.certain_version("chat").is_some());
+    assert!(certain_version_by(&facts).is_some());
     let started_ms = NOW_MS - RETENTION_MS + 1;
-    assert_eq!(OriginFacts { started_ms, ..facts }.certain_version("chat"), None);
-    assert_eq!(OriginFacts { retention_ms: None, ..facts }.certain_version("chat"), None);
+    assert_eq!(certain_version_by(&OriginFacts { started_ms, ..facts }), None);
+    assert_eq!(certain_version_by(&OriginFacts { retention_ms: None, ..facts }), None);
 
     let mut cut_off = hosts.clone();
     let later_ms = NOW_MS + 70_000;
@@ -190,52 +197,52 @@
     assert_eq!(streams.version(resumed), None);
 }
 
-/// Streams whose version is certain need not be told to cores, but must be once it is
-/// not, and only once.
+/// Guards against a stream that nobody but its host knows of, while that stands still, and against
+/// one that is told again and again.
+#[test]
+fn each_stream_is_announced_once() {
+    let mut streams = StreamVersions::default();
+    let (first, second) = (StreamKey::of_request("a"), StreamKey::of_request("b"));
+    streams.record_relayed(0, first, &Name::from("v1"));
+    streams.record_relayed(0, second, &Name::from("v2"));
+    let due = streams.take_unannounced();
+    assert_eq!(due.get(&Name::from("v1")), Some(&vec![first]));
+    assert_eq!(due.get(&Name::from("v2")), Some(&vec![second]));
+    assert!(streams.take_unannounced().is_empty());
+}
+
+/// Guards against a stream that goes on at another version than the cores were told.
 #[test]
-fn streams_are_announced_once_when_their_version_is_no_longer_certain() {
-    let (mut streams, service) = (StreamVersions::default(), Name::from("chat"));
+fn stream_that_goes_on_is_announced_again() {
+    let mut streams = StreamVersions::default();
     let stream = StreamKey::of_request("a");
-    streams.record(0, stream, &Name::from("v1"));
-    streams.mark_unannounced(&service, stream);
-    assert!(streams.take_unannounced(|_| false).is_empty());
-    let due = streams.take_unannounced(|_| true);
-    assert_eq!(due.get(&Name::from("v1")), Some(&vec![stream]));
-    assert!(streams.take_unannounced(|_| true).is_empty());
+    streams.record_relayed(0, stream, &Name::from("v1"));
+    streams.take_unannounced();
+    streams.record_relayed(1, stream, &Name::from("v2"));
+    assert_eq!(streams.take_unannounced().get(&Name::from("v2")), Some(&vec![stream]));
 }
 
-/// Guards against a stream that nobody but its host knows of, while that stands still.
+/// Guards against a core that sends on what other hosts have told it, as if it had relayed it.
 #[test]
-fn streams_that_last_are_announced_while_their_version_is_certain() {
-    let (mut streams, service) = (StreamVersions::default(), Name::from("chat"));
-    let (short, lasting) = (StreamKey::of_request("short"), StreamKey::of_request("lasting"));
-    for stream in [short, lasting] {
-        streams.record(0, stream, &Name::from("v1"));
-        streams.mark_unannounced(&service, stream);
-    }
-    streams.mark_lasting(lasting);
-    let due = streams.take_unannounced(|_| false);
-    assert_eq!(due.get(&Name::from("v1")), Some(&vec![lasting]));
-    assert!(streams.take_unannounced(|_| false).is_empty());
-    streams.mark_all_unannounced();
-    assert_eq!(streams.take_unannounced(|_| false).len(), 1);
+fn streams_of_other_hosts_are_not_announced() {
+    let mut streams = StreamVersions::default();
+    streams.record(0, StreamKey::of_request("a"), &Name::from("v1"));
+    assert!(streams.take_unannounced().is_empty());
+    assert!(streams.relayed().is_empty());
 }
 
 /// Guards against records that are lost with the cores: a core that has started anew is told
-/// again about the streams that may still be taken up.
+/// again about the streams that may still be taken up, and about no others.
 #[test]
 fn streams_are_announced_again_after_a_core_has_started_anew() {
-    let (mut streams, service) = (StreamVersions::default(), Name::from("chat"));
+    let mut streams = StreamVersions::default();
     let (old, recent) = (StreamKey::of_request("old"), StreamKey::of_request("recent"));
     for (recorded_ms, stream) in [(0, old), (8_000, recent)] {
-        streams.record(recorded_ms, stream, &Name::from("v1"));
-        streams.mark_unannounced(&service, stream);
+        streams.record_relayed(recorded_ms, stream, &Name::from("v1"));
     }
-    assert_eq!(streams.take_unannounced(|_| true).len(), 1);
+    assert_eq!(streams.take_unannounced().len(), 1);
     streams.remove_older(RETENTION_MS + 1, RETENTION_MS);
-    streams.mark_all_unannounced();
-    let due = streams.take_unannounced(|_| true);
-    assert_eq!(due.get(&Name::from("v1")), Some(&vec![recent]));
+    assert_eq!(streams.relayed().get(&Name::from("v1")), Some(&vec![recent]));
 }
 
 /// A stream goes on at no worker of another or of an unknown version.
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -23,7 +23,7 @@
                     queries.for_each(|query| hub.send(&host.name, query));
                 }
                 if host.role == FleetHostRole::Core {
-                    self.announce_again();
+                    self.announce_again(&host.name);
                     self.report_crashes_again(&host);
                 }
             }
@@ -127,8 +127,6 @@
             self.notify_waiting();
             self.check_contact_soon();
             self.report_ended_workers();
-            // The version of recent streams may no longer be certain.
-            self.announcement_due.notify_one();
             log::info!(
                 event = Event::WorkerChanged.number(), worker = id.as_str(), sequence = sequence,
                 worker_version = version.as_ref().map_or("", Name::as_str), from = from.as_str();
--- a/crates/anvillift-node/src/entry/relay.rs
+++ b/crates/anvillift-node/src/entry/relay.rs
@@ -28,9 +28,6 @@
 /// Largest event of a stream, in bytes.
 const MAX_EVENT_BYTES: u64 = 256 * 1024;
 
-/// Time since its first event from which a stream counts as one that lasts.
-const LASTING_STREAM_TIME: Duration = Duration::from_millis(1_000);
-
 /// Next step of a relay.
 enum RelayStep {
     /// Data to write: complete events of a resumable stream, or what has arrived otherwise.
@@ -68,7 +65,6 @@
         let keep_alive = keep_alive && !self.node.is_leaving();
         let mut writer = ResponseWriter::new(&response, request, keep_alive);
         let mut upstream = UpstreamResponse::new(request, started, response);
-        let mut is_lasting = false;
         loop {
             if !writer.has_started() {
                 self.remember_stream(request, upstream.version.as_ref());
@@ -82,13 +78,7 @@
                     let remaining = Duration::from_millis(request.remaining_ms());
                     let written = time::timeout(remaining, writer.write(caller, &data)).await;
                     let outcome = match written {
-                        Ok(Ok(())) => {
-                            if !is_lasting && writer.has_written_for(LASTING_STREAM_TIME) {
-                                is_lasting = true;
-                                self.announce_lasting_stream(request);
-                            }
-                            continue;
-                        }
+                        Ok(Ok(())) => continue,
                         Ok(Err(_)) => AnswerOutcome::CallerLeft,
                         // The caller reads too slowly.
                         Err(_) => AnswerOutcome::TimedOut,
--- a/crates/anvillift-node/src/entry/response_writer.rs
+++ b/crates/anvillift-node/src/entry/response_writer.rs
@@ -5,7 +5,6 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use anvillift_fleet::{EventSplitter, TruncatedStream};
 use anvillift_http::{Connection, Framing};
@@ -45,12 +44,6 @@
 }
 
 impl ResponseWriter {
-    /// Whether the first write was at least `time` ago.
-    pub(super) fn has_written_for(&self, time: Duration) -> bool {
-        let since = self.first_write_ms.map(|ms| clock::now_ms() - ms);
-        since.is_some_and(|since_ms| u128::from(since_ms) >= time.as_millis())
-    }
-
     pub(super) fn new(response: &StartedResponse, request: &Request, keep_alive: bool) -> Self {
         let is_resumable = request.route.kind.may_repeat() && request.route.kind.is_stream();
         let is_event_stream =
--- a/crates/anvillift-node/src/entry/stream_version.rs
+++ b/crates/anvillift-node/src/entry/stream_version.rs
@@ -1,10 +1,10 @@
 //! Keeps a stream at the software version that began it.
 //!
 //! [`Entry::remember_stream`] records the version of a resumable stream before its
-//! first event is sent. Where the version of other streams of the service isn't
-//! certain, cores are told, in batches, since the caller may take the stream up at
+//! first event is sent, and cores are told, since the caller may take the stream up at
 //! another host, see [`stream_lookup`](super::stream_lookup). The policy is [`stream_origin`].
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,9 +18,9 @@
 use crate::entry::request::Request;
 use crate::entry::stream_lookup::answers_stream_queries;
 
-/// Time for which streams are collected before cores are told about them. Streams of a
-/// host that fails within this time can't be resumed elsewhere.
-const ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(25);
+/// Shortest time between two announcements. Streams that begin within it after an announcement
+/// are collected, and can't be resumed elsewhere if this host fails meanwhile.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(25);
 /// Most streams in one frame.
 const MAX_STREAMS_PER_FRAME: usize = 2_000;
 
@@ -33,70 +33,55 @@
         }
         let Some(version) = version else { return };
         let now_ms = clock::now_ms();
-        let mut view = self.node.view.borrow_mut();
+        let streams = &mut self.node.view.borrow_mut().streams;
         for stream in stream_keys(request) {
-            view.streams.record(now_ms, stream, version);
-            view.streams.mark_unannounced(&request.service, stream);
-        }
-        let is_certain = view.certain_version(&request.service).is_some();
-        drop(view);
-        if !is_certain {
-            self.announcement_due.notify_one();
-        }
-    }
-
-    /// Has cores told about a stream that lasts, see [`StreamVersions::mark_lasting`].
-    ///
-    /// [`StreamVersions::mark_lasting`]: anvillift_fleet::StreamVersions::mark_lasting
-    pub(super) fn announce_lasting_stream(&self, request: &Request) {
-        if request.route.kind != RepeatKind::ResumableStream {
-            return;
-        }
-        let mut view = self.node.view.borrow_mut();
-        for stream in stream_keys(request) {
-            view.streams.mark_lasting(stream);
+            streams.record_relayed(now_ms, stream, version);
         }
         self.announcement_due.notify_one();
     }
 
-    /// Announces streams in batches whenever an announcement is due.
+    /// Announces the streams that begin: the first one at once, those that follow it within
+    /// [`ANNOUNCEMENT_INTERVAL`] together.
     pub(super) async fn run_announcements(self: Rc<Self>) {
         loop {
             self.announcement_due.notified().await;
-            time::sleep(ANNOUNCEMENT_DELAY).await;
             self.announce_streams();
+            time::sleep(ANNOUNCEMENT_INTERVAL).await;
         }
     }
 
-    /// Tells cores at once about the recorded streams whose version is not certain.
+    /// Tells cores about the recorded streams that they have not been told about.
     pub(super) fn announce_streams(&self) {
-        let Some(hub) = self.node.hub() else { return };
         let keepers = self.stream_keepers();
         if keepers.is_empty() {
             return;
         }
-        let mut view = self.node.view.borrow_mut();
-        let mut streams = std::mem::take(&mut view.streams);
-        let due = streams.take_unannounced(|service| view.certain_version(service).is_none());
-        view.streams = streams;
-        drop(view);
-        for (version, streams) in due {
+        let streams = self.node.view.borrow_mut().streams.take_unannounced();
+        self.send_streams(&keepers, streams);
+    }
+
+    /// Tells a core, to which the link has come up, about all streams that this host has relayed
+    /// if it is one of those that keep them: its process may be a new one.
+    pub(super) fn announce_again(&self, core: &Name) {
+        if self.stream_keepers().contains(core) {
+            let streams = self.node.view.borrow().streams.relayed();
+            self.send_streams(std::slice::from_ref(core), streams);
+        }
+        self.announcement_due.notify_one();
+    }
+
+    fn send_streams(&self, cores: &[Name], by_version: BTreeMap<Name, Vec<StreamKey>>) {
+        let Some(hub) = self.node.hub() else { return };
+        for (version, streams) in by_version {
             for part in streams.chunks(MAX_STREAMS_PER_FRAME) {
                 let streams = part.iter().map(|stream| stream.0).collect();
                 let group = FleetStreamGroup { streams, version: version.clone() };
                 let frame = FleetFrame::Streams(FleetStreams { groups: vec![group] });
-                keepers.iter().for_each(|core| hub.send(core, frame.clone()));
+                cores.iter().for_each(|core| hub.send(core, frame.clone()));
             }
         }
     }
 
-    /// Tells cores again about the streams that this host has relayed, after the link to a
-    /// core has come up: its process may be a new one.
-    pub(super) fn announce_again(&self) {
-        self.node.view.borrow_mut().streams.mark_all_unannounced();
-        self.announcement_due.notify_one();
-    }
-
     /// Linked cores that answer queries about streams.
     pub(super) fn stream_cores(&self) -> Vec<Name> {
         let Some(hub) = self.node.hub() else { return Vec::new() };
--- a/crates/anvillift-node/src/fleet_view.rs
+++ b/crates/anvillift-node/src/fleet_view.rs
@@ -46,12 +46,6 @@
         self.weights_percent.get(worker).copied().unwrap_or(anvillift_fleet::NEUTRAL_PERCENT)
     }
 
-    /// The version that must have begun every recent stream of a service, or `None`
-    /// if there may have been another one.
-    pub(crate) fn certain_version(&self, service: &str) -> Option<Name> {
-        self.origin_facts().certain_version(service)
-    }
-
     /// The version that began a stream of a service, as far as this host can tell.
     pub(crate) fn known_version(&self, stream: StreamKey, service: &str) -> Option<KnownVersion> {
         let recorded = self.streams.version(stream).map(|version| KnownVersion {
