--- a/crates/anvillift-http/src/connection.rs
+++ b/crates/anvillift-http/src/connection.rs
@@ -8,6 +8,7 @@
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::coop;
 
 use crate::body::{BodyReader, Step};
 use crate::error::{BodyTooLargeSnafu, ClosedSnafu, HttpError, IncompleteSnafu};
@@ -28,6 +29,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Size of the empty lines since the last head.
+    empty_line_bytes: usize,
     peer: Option<SocketAddr>,
 }
 
@@ -35,7 +38,7 @@
     /// Wraps a connected socket.
     pub fn new(stream: TcpStream) -> Self {
         let peer = stream.peer_addr().ok();
-        Self { stream, buffer: BytesMut::new(), peer }
+        Self { stream, buffer: BytesMut::new(), empty_line_bytes: 0, peer }
     }
 
     /// Address of the peer, or `None` if it could not be determined when the
@@ -50,8 +53,10 @@
     }
 
     /// Waits for bytes and reads them into the buffer. Returns their number, which
-    /// is 0 if the peer has closed the connection.
+    /// is 0 if the peer has closed the connection. Yields to other tasks now and then,
+    /// since a fast peer may always have sent more.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        coop::consume_budget().await;
         loop {
             self.stream.readable().await?;
             self.buffer.reserve(READ_BUFFER_BYTES);
@@ -66,7 +71,9 @@
     /// closed the connection between two requests.
     pub async fn read_request(&mut self, limits: HeadLimits) -> Result<RequestHead, HttpError> {
         loop {
+            self.skip_empty_lines(limits)?;
             if let Some(head) = parse::request(&mut self.buffer, limits)? {
+                self.empty_line_bytes = 0;
                 return Ok(head);
             }
             if self.fill().await? == 0 {
@@ -85,7 +92,18 @@
         &mut self,
         limits: HeadLimits,
     ) -> Result<Option<ResponseHead>, HttpError> {
-        parse::response(&mut self.buffer, limits)
+        self.skip_empty_lines(limits)?;
+        let head = parse::response(&mut self.buffer, limits)?;
+        if head.is_some() {
+            self.empty_line_bytes = 0;
+        }
+        Ok(head)
+    }
+
+    /// Removes empty lines before a head. All of them together may be as long as a head.
+    fn skip_empty_lines(&mut self, limits: HeadLimits) -> Result<(), HttpError> {
+        self.empty_line_bytes += parse::skip_empty_lines(&mut self.buffer);
+        parse::check_size(self.empty_line_bytes, limits.bytes)
     }
 
     /// Reads the next bytes of a body, or returns `None` at its end.
@@ -132,8 +150,9 @@
     }
 
     /// Writes some of `bytes` or reads arriving bytes into the buffer, whichever is
-    /// possible first. With empty `bytes` it only reads.
+    /// possible first. With empty `bytes` it only reads. Yields like [`fill`](Self::fill).
     pub async fn write_or_read(&mut self, bytes: &[u8]) -> io::Result<Progress> {
+        coop::consume_budget().await;
         let interest = match bytes.is_empty() {
             true => Interest::READABLE,
             false => Interest::READABLE | Interest::WRITABLE,
--- a/crates/anvillift-http/src/parse.rs
+++ b/crates/anvillift-http/src/parse.rs
@@ -18,12 +18,11 @@
 const MAX_HEADER_FIELDS: usize = 160;
 
 /// Takes the head of a request from the buffer, or returns `None` until the buffer
-/// holds the entire head.
+/// holds the entire head. The buffer doesn't begin with an empty line.
 pub(crate) fn request(
     buffer: &mut BytesMut,
     limits: HeadLimits,
 ) -> Result<Option<RequestHead>, HttpError> {
-    skip_empty_lines(buffer);
     if !has_complete_head(buffer, limits.bytes)? {
         return Ok(None);
     }
@@ -46,7 +45,7 @@
 }
 
 /// Takes the head of a response from the buffer, or returns `None` until the buffer
-/// holds the entire head.
+/// holds the entire head. The buffer doesn't begin with an empty line.
 pub(crate) fn response(
     buffer: &mut BytesMut,
     limits: HeadLimits,
@@ -108,7 +107,8 @@
     Ok(is_complete)
 }
 
-fn check_size(length: usize, limit_bytes: usize) -> Result<(), HttpError> {
+/// Fails if something before the body of a message is too long.
+pub(crate) fn check_size(length: usize, limit_bytes: usize) -> Result<(), HttpError> {
     if length > limit_bytes { HeadTooLargeSnafu { limit_bytes }.fail() } else { Ok(()) }
 }
 
@@ -116,8 +116,17 @@
     if headers.len() > limit { TooManyFieldsSnafu { limit }.fail() } else { Ok(()) }
 }
 
-fn skip_empty_lines(buffer: &mut BytesMut) {
-    while buffer.starts_with(b"\r\n") {
-        buffer.advance(2);
+/// Removes the empty lines at the start of the buffer, and returns how many bytes they had.
+pub(crate) fn skip_empty_lines(buffer: &mut BytesMut) -> usize {
+    let mut skipped_bytes = 0;
+    loop {
+        let line_bytes = match buffer.get(skipped_bytes..) {
+            Some([b'\r', b'\n', ..]) => 2,
+            Some([b'\n', ..]) => 1,
+            _ => break,
+        };
+        skipped_bytes += line_bytes;
     }
+    buffer.advance(skipped_bytes);
+    skipped_bytes
 }
--- a/crates/anvillift-http/tests/testsuite/connection.rs
+++ b/crates/anvillift-http/tests/testsuite/connection.rs
@@ -1,11 +1,21 @@
 //! Reading of requests, responses and bodies over a loopback socket.
 
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
 use anvillift_http::{BodyReader, Connection, Framing, HeadLimits, HttpError};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::LocalSet;
+use tokio::{task, time};
 
 const MAX_HEAD_BYTES: usize = 1_024;
+/// Reads after which others have had a turn.
+const MAX_READS_IN_A_ROW: u32 = 256;
 const LIMITS: HeadLimits = HeadLimits { bytes: MAX_HEAD_BYTES, fields: 16 };
 
 async fn connected_pair() -> (TcpStream, Connection) {
@@ -144,3 +154,93 @@
     connection.wait_for_close().await;
     assert!(connection.is_stale());
 }
+
+/// Guards against a reader that reads on without end, and goes through all that it has each time:
+/// empty lines before a head looked like its end.
+#[rstest]
+#[tokio::test]
+async fn empty_lines_without_end_are_refused(
+    #[values("\r\n", "\n")] line: &str,
+    #[values(true, false)] is_request: bool,
+) {
+    let (mut peer, mut connection) = connected_pair().await;
+    let lines = line.repeat(2 * MAX_HEAD_BYTES);
+    tokio::spawn(async move {
+        // Fails once the connection is closed.
+        while peer.write_all(lines.as_bytes()).await.is_ok() {}
+    });
+    let reading = async {
+        if is_request {
+            return connection.read_request(LIMITS).await.map(|_| ());
+        }
+        while connection.parse_response(LIMITS)?.is_none() {
+            connection.fill().await?;
+        }
+        Ok(())
+    };
+    let read = time::timeout(Duration::from_secs(1), reading).await;
+    assert!(matches!(read, Ok(Err(HttpError::HeadTooLarge { .. }))), "{read:?}");
+}
+
+/// Some peers send an empty line after a body. Guards against such messages that are refused, and
+/// against a bound that counts the empty lines of earlier messages.
+#[rstest]
+#[tokio::test]
+async fn few_empty_lines_before_a_head_are_skipped(#[values("\r\n", "\n")] line: &str) {
+    const MESSAGES: usize = 2 * MAX_HEAD_BYTES;
+    let (mut peer, mut connection) = connected_pair().await;
+    let message = format!("{line}{line}HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n");
+    tokio::spawn(async move {
+        peer.write_all(message.repeat(MESSAGES).as_bytes()).await.expect("a write");
+        peer
+    });
+    for _ in 0..MESSAGES {
+        let head = loop {
+            if let Some(head) = connection.parse_response(LIMITS).expect("a proper head") {
+                break head;
+            }
+            connection.fill().await.expect("bytes");
+        };
+        assert_eq!(head.status, 204);
+    }
+}
+
+/// Guards against a reader that keeps all others from running as long as its peer sends.
+#[tokio::test]
+async fn others_run_while_a_fast_peer_is_read() {
+    const BODY_BYTES: u64 = 64 * 1024 * 1024;
+    let (peer, mut connection) = connected_pair().await;
+    let peer = peer.into_std().expect("a socket");
+    peer.set_nonblocking(false).expect("a blocking socket");
+    let sender = thread::spawn(move || {
+        let mut left = BODY_BYTES;
+        let chunk = vec![b'x'; 1024 * 1024];
+        while left > 0 {
+            io::Write::write_all(&mut &peer, &chunk).expect("a write");
+            left -= chunk.len() as u64;
+        }
+    });
+    let turns = Rc::new(Cell::new(0_u64));
+    let counted = Rc::clone(&turns);
+    let tasks = LocalSet::new();
+    tasks.spawn_local(async move {
+        loop {
+            counted.set(counted.get() + 1);
+            task::yield_now().await;
+        }
+    });
+    let longest_gap = tasks
+        .run_until(async {
+            let mut body = BodyReader::new(Framing::Length(BODY_BYTES));
+            let (mut gap, mut longest_gap, mut last_turn) = (0, 0, 0);
+            while connection.read_body(&mut body).await.expect("a part of the body").is_some() {
+                gap = if turns.get() > last_turn { 0 } else { gap + 1 };
+                last_turn = turns.get();
+                longest_gap = longest_gap.max(gap);
+            }
+            longest_gap
+        })
+        .await;
+    sender.join().expect("the sender");
+    assert!(longest_gap <= MAX_READS_IN_A_ROW, "{longest_gap} reads in a row");
+}
