--- a/crates/anvillift-fleet/src/worker_table.rs
+++ b/crates/anvillift-fleet/src/worker_table.rs
@@ -157,6 +157,11 @@
         self.workers.get(id)
     }
 
+    /// The worker that started last at an address.
+    pub fn at_address(&self, address: &str) -> Option<&WorkerEntry> {
+        self.workers.get(self.by_address.get(address)?)
+    }
+
     /// All workers, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &WorkerEntry> {
         self.workers.values()
--- a/crates/anvillift-node/src/core/crashes.rs
+++ b/crates/anvillift-node/src/core/crashes.rs
@@ -33,7 +33,8 @@
         for crash in crashes.crashes {
             let confirmed = confirmed_crash(now_ms, &crash);
             self.doubt_version(from, &crash);
-            if !self.crash_evidence.borrow_mut().record(now_ms, confirmed) {
+            let has_requests = !crash.requests.is_empty() || !crash.parts.is_empty();
+            if !has_requests || !self.crash_evidence.borrow_mut().record(now_ms, confirmed) {
                 continue;
             }
             log::warn!(
--- a/crates/anvillift-node/src/entry/crashes.rs
+++ b/crates/anvillift-node/src/entry/crashes.rs
@@ -276,7 +276,7 @@
     }
 
     /// Linked cores that understand the frames about crashes.
-    fn crash_cores(&self) -> Vec<Name> {
+    pub(super) fn crash_cores(&self) -> Vec<Name> {
         let mut names = self.node.quarantine_peers();
         let view = self.node.view.borrow();
         names.retain(|name| {
--- a/crates/anvillift-node/src/entry/housekeeping.rs
+++ b/crates/anvillift-node/src/entry/housekeeping.rs
@@ -53,7 +53,6 @@
             tick.tick().await;
             let now_ms = clock::now_ms();
             self.node.dial_cores();
-            self.pool.prune(now_ms);
             self.stream_lookups.borrow_mut().remove_ended();
             let held_index = self.node.received_index();
             let overdue_core = self.control_fetch.borrow_mut().retry(now_ms, held_index);
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -29,6 +29,7 @@
 mod deadline;
 mod dispatch_state;
 mod eligible;
+mod ended_workers;
 mod exchange;
 mod forward;
 mod frames;
@@ -210,6 +211,8 @@
         task::spawn_local(async move { announcer.run_announcements().await });
         let checker = Rc::clone(&entry);
         task::spawn_local(async move { checker.run_crash_checks().await });
+        let connection_checker = Rc::clone(&entry);
+        task::spawn_local(async move { connection_checker.run_connection_checks().await });
         let contact_checker = Rc::clone(&entry);
         task::spawn_local(async move { contact_checker.run_contact_checks().await });
         let asker = Rc::clone(&entry);
--- a/crates/anvillift-node/src/entry/pool.rs
+++ b/crates/anvillift-node/src/entry/pool.rs
@@ -11,7 +11,7 @@
 //! request on its connection. Connections to a peer that sends such rejections are not reused.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::mem;
 use std::net::SocketAddr;
@@ -49,10 +49,13 @@
 }
 
 /// Connections of this host, by peer address.
+#[derive(Default)]
 pub(crate) struct Pool {
     peers: RefCell<BTreeMap<SocketAddr, PeerConnections>>,
     /// Times of the last rejections without a request id, by the address of their peer.
     unnamed_rejections: RefCell<BTreeMap<SocketAddr, u64>>,
+    /// Peers that have ended idle connections before their time, see [`Pool::take_ended`].
+    ended: RefCell<BTreeSet<SocketAddr>>,
 }
 
 /// Reasons why no connection is available.
@@ -68,7 +71,7 @@
 
 impl Pool {
     pub(crate) fn new() -> Rc<Self> {
-        Rc::new(Self { peers: RefCell::default(), unnamed_rejections: RefCell::default() })
+        Rc::new(Self::default())
     }
 
     /// Returns a pooled connection to an address that may carry the request with this id
@@ -132,9 +135,9 @@
     /// Drops idle connections that have expired or were closed by the peer.
     pub(crate) fn prune(&self, now_ms: u64) {
         let mut peers = self.peers.borrow_mut();
-        for peer in peers.values_mut() {
+        for (address, peer) in peers.iter_mut() {
             let before = peer.idle.len();
-            peer.idle.retain_mut(|idle| idle.until_ms > now_ms && !idle.connection.is_stale());
+            peer.idle.retain_mut(|idle| idle.until_ms > now_ms && self.is_alive(*address, idle));
             peer.open -= before - peer.idle.len();
         }
         peers.retain(|_, peer| peer.open > 0);
@@ -143,6 +146,21 @@
             .retain(|_, at_ms| *at_ms + UNNAMED_REJECTION_MS >= now_ms);
     }
 
+    /// Peers that have ended idle connections before their time since the last call. They may have
+    /// ended themselves.
+    pub(crate) fn take_ended(&self) -> BTreeSet<SocketAddr> {
+        self.ended.take()
+    }
+
+    /// Whether an idle connection can be reused; if not, its peer counts as one that has ended it.
+    fn is_alive(&self, address: SocketAddr, idle: &mut IdleConnection) -> bool {
+        let is_alive = !idle.connection.is_stale();
+        if !is_alive {
+            self.ended.borrow_mut().insert(address);
+        }
+        is_alive
+    }
+
     /// Takes the idle connection that was used last of those that `is_suitable` accepts.
     fn take_idle(
         &self,
@@ -154,7 +172,7 @@
         let peer = peers.get_mut(&address)?;
         while let Some(position) = peer.idle.iter().rposition(|idle| is_suitable(&idle.carried)) {
             let mut idle = peer.idle.remove(position);
-            if idle.until_ms > now_ms && !idle.connection.is_stale() {
+            if idle.until_ms > now_ms && self.is_alive(address, &mut idle) {
                 return Some(idle);
             }
             peer.open -= 1;
