--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -1,8 +1,8 @@
 //! Sequence of attempts for a request: picks targets, decides whether to try
 //! another one, and records the start and end of each attempt.
 
-use anvillift_fleet::retry_decision;
 use anvillift_fleet::retry_decision::{AttemptEnd, FinalOutcome, NextStep};
+use anvillift_fleet::{RepeatKind, retry_decision};
 use anvillift_http::Connection;
 use anvillift_schema::event::Event;
 
@@ -28,6 +28,9 @@
         request: &Request,
         keep_alive: bool,
     ) -> ConnectionAction {
+        if request.route.kind == RepeatKind::ResumableStream {
+            self.wait_for_news().await;
+        }
         let mut attempts = Attempts::of(request);
         let mut counted: Option<CountedQuota<'_>> = None;
         let mut permit = self.begin_trial(request);
--- a/crates/anvillift-node/src/entry/frames.rs
+++ b/crates/anvillift-node/src/entry/frames.rs
@@ -39,8 +39,10 @@
             }
             FleetFrame::Worker(report) => self.on_worker(from, report),
             FleetFrame::Leave(leave) => self.on_leave(from, &leave),
-            FleetFrame::Ping(_) | FleetFrame::Pong(_) => {
-                self.node.view.borrow_mut().hosts.record_message(clock::now_ms(), from);
+            FleetFrame::Ping(_) => self.record_message(from),
+            FleetFrame::Pong(pong) => {
+                self.record_message(from);
+                self.on_pong(from, &pong);
             }
             FleetFrame::Loads(mut loads) => {
                 let mut view = self.node.view.borrow_mut();
@@ -117,6 +119,10 @@
         }
     }
 
+    fn record_message(&self, from: &Name) {
+        self.node.view.borrow_mut().hosts.record_message(clock::now_ms(), from);
+    }
+
     fn on_worker(&self, from: &Name, report: FleetWorker) {
         let is_ending = matches!(report.state, FleetWorkerState::Draining | FleetWorkerState::Left);
         let confirmation = confirmation_frame(&report);
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -55,6 +55,7 @@
 mod resume_wait;
 mod retries;
 mod served_request;
+mod standstill;
 mod stream_lookup;
 mod stream_lookups;
 mod stream_version;
@@ -85,6 +86,7 @@
 use crate::entry::pool::Pool;
 use crate::entry::quota::Quotas;
 use crate::entry::served_request::ServedRequests;
+use crate::entry::standstill::Standstill;
 use crate::entry::stream_lookups::StreamLookups;
 use crate::entry::team_shares::TeamSharing;
 use crate::entry::trials::EntryTrials;
@@ -139,6 +141,8 @@
     stream_lookups: RefCell<StreamLookups>,
     /// Memory for request bodies.
     body_memory: BodyMemory,
+    /// Whether this host has stood still and waits for news.
+    standstill: Standstill,
     /// The planned stop, or `None` before.
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     /// Whether the planned stop ends the requests in service.
@@ -198,6 +202,7 @@
             team_sharing: TeamSharing::new(),
             stream_lookups: RefCell::default(),
             body_memory,
+            standstill: Standstill::new(clock::now_ms()),
             planned_stop: Cell::new(None),
             requests_end: watch::Sender::new(false),
         });
@@ -213,6 +218,8 @@
         task::spawn_local(async move { checker.run_crash_checks().await });
         let connection_checker = Rc::clone(&entry);
         task::spawn_local(async move { connection_checker.run_connection_checks().await });
+        let noter = Rc::clone(&entry);
+        task::spawn_local(async move { noter.run_standstill_notes().await });
         let contact_checker = Rc::clone(&entry);
         task::spawn_local(async move { contact_checker.run_contact_checks().await });
         let asker = Rc::clone(&entry);
