--- a/crates/anvillift-node/src/core/voters.rs
+++ b/crates/anvillift-node/src/core/voters.rs
@@ -60,7 +60,7 @@
         let is_over = time::timeout(timeout, handed_over).await.is_ok();
         let voters = self.log.status().voters.voters;
         log::info!(
-            event = Event::HostDraining.number(), voters = voters.len(),
+            event = Event::ControlHandedOver.number(), voters = voters.len(),
             is_voter = voters.contains(&self.own_replica()), timed_out = !is_over,
             waited_ms = start.elapsed().as_millis() as u64;
             "planned stop has handed over control"
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -57,6 +57,7 @@
     StorageReopened = 2407, "info", "The data folder is used again after a fault";
     VotersChanged = 2408, "info", "A change of the voters of control was requested";
     ControlApplied = 2409, "info", "A command of the control log was applied";
+    ControlHandedOver = 2410, "info", "A planned stop of a core has handed over control";
     ChangeAccepted = 2501, "info", "A change of the configuration was accepted";
     ConfigurationApplied = 2502, "info", "A configuration revision was applied on this host";
     OrderSent = 2503, "info", "An order was sent to an upstream";
@@ -78,7 +79,7 @@
     WorkerSaysLeaving = 2713, "info", "A worker said in an answer that it is leaving";
     WorkerAsksForPause = 2714, "info", "A worker asked for a pause";
     PauseUnreadable = 2715, "warn", "A worker asked for a pause that cannot be read";
-    WorkerCrashed = 2716, "warn", "A worker crashed while requests of this host were in flight there";
+    WorkerCrashed = 2716, "warn", "A worker crashed, or can't be reached and has ended its idle connections";
     FeaturesSuspected = 2717, "info", "Hosts are asked about requests that were in flight at several crashes";
     FeaturesQuarantined = 2718, "warn", "Requests that crash workers are refused from now on";
     RequestQuarantined = 2719, "info", "A request was refused because requests like it crash workers";
