--- a/crates/anvillift-fleet/tests/testsuite/core_roster.rs
+++ b/crates/anvillift-fleet/tests/testsuite/core_roster.rs
@@ -120,7 +120,7 @@
 /// silent for seconds: the loss of another disk in that time took the majority for good.
 #[rstest]
 #[case::successor_votes(&["a", "b", "c", "d"], &["b"], Some("b"))]
-#[case::stops_while_another_has_just_gone(&["a", "b", "c", "d", "e", "f"], &["b", "c"], Some("b"))]
+#[case::two_of_six_stop(&["a", "b", "c", "d", "e", "f"], &["b", "c"], Some("b"))]
 #[case::restart_of_one_of_three(&["a", "b", "c"], &["b"], None)]
 #[case::restart_of_one_of_five(&["a", "b", "c", "d", "e"], &["b"], None)]
 #[case::two_voters(&["a", "b"], &["b"], None)]
