--- a/crates/anvillift-consensus/src/leader.rs
+++ b/crates/anvillift-consensus/src/leader.rs
@@ -1,8 +1,6 @@
 //! Leader side of the protocol: replication, commitment, the lease and
 //! linearizable reads.
 
-use std::collections::BTreeMap;
-
 use anvillift_schema::consensus::{ConsensusMessage, Entry, EntryBody, Voter};
 
 use crate::effect::Effect;
@@ -10,7 +8,7 @@
 use crate::propose_error::ProposeError;
 use crate::quorum;
 use crate::replica::Replica;
-use crate::role::{Leadership, PendingRead, ReplicaKey, Role};
+use crate::role::{Leadership, Role};
 
 impl Replica {
     pub(crate) fn become_leader(&mut self, now_ms: u64) {
@@ -54,51 +52,6 @@
         index
     }
 
-    /// Updates the set of tracked replicas after a membership change.
-    fn track_replicas(&mut self) {
-        let others = self.followers();
-        let next_index = self.log.last_index();
-        let Role::Leader(leadership) = &mut self.role else { return };
-        let mut progress = BTreeMap::new();
-        for replica in others {
-            let key = Self::key(&replica);
-            let existing = leadership.progress.remove(&key);
-            progress.insert(key, existing.unwrap_or_else(|| Progress::new(next_index)));
-        }
-        leadership.progress = progress;
-    }
-
-    fn other_replicas(&self) -> Vec<Voter> {
-        let voters = self.log.voters();
-        let all = voters.voters.iter().chain(&voters.learners);
-        all.filter(|replica| **replica != self.identity).cloned().collect()
-    }
-
-    /// The replicas that receive the log: the members, and one that was removed just now.
-    fn followers(&self) -> Vec<Voter> {
-        let mut followers = self.other_replicas();
-        if let Some(removed) = self.removed_replica()
-            && !followers.contains(removed)
-        {
-            followers.push(removed.clone());
-        }
-        followers
-    }
-
-    fn removed_replica(&self) -> Option<&Voter> {
-        let Role::Leader(leadership) = &self.role else { return None };
-        leadership.removed.as_ref().map(|removed| &removed.replica)
-    }
-
-    /// Ends the replication to a removed replica once its time is over.
-    fn tick_removed(&mut self, now_ms: u64) {
-        let Role::Leader(leadership) = &mut self.role else { return };
-        if leadership.removed.as_ref().is_some_and(|removed| now_ms >= removed.until_ms) {
-            leadership.removed = None;
-            self.track_replicas();
-        }
-    }
-
     pub(crate) fn tick_leader(&mut self, now_ms: u64) {
         self.tick_transfer(now_ms);
         self.tick_removed(now_ms);
@@ -294,58 +247,4 @@
         }
         self.step_down_if_removed(now_ms);
     }
-
-    /// End of the lease. No other replica can become leader before this time.
-    pub(crate) fn lease_until_ms(&self, leadership: &Leadership, now_ms: u64) -> u64 {
-        self.quorum_acked_ms(leadership, now_ms) + self.settings.lease_ms()
-    }
-
-    /// Send time of the newest message that a majority of the voters has
-    /// answered.
-    fn quorum_acked_ms(&self, leadership: &Leadership, now_ms: u64) -> u64 {
-        quorum::majority_value(self.log.voters(), |voter| {
-            if *voter == self.identity {
-                return now_ms;
-            }
-            let progress: Option<&Progress> =
-                leadership.progress.get::<ReplicaKey>(&Self::key(voter));
-            progress.map_or(0, |progress| progress.acked_ms)
-        })
-    }
-
-    /// Steps down if no majority has answered within an election timeout.
-    pub(crate) fn check_quorum(&mut self, now_ms: u64) {
-        let Role::Leader(leadership) = &self.role else { return };
-        let acked_ms = self.quorum_acked_ms(leadership, now_ms).max(leadership.since_ms);
-        if now_ms > acked_ms + self.settings.election_timeout_ms {
-            self.become_follower(now_ms);
-        }
-    }
-
-    pub(crate) fn begin_read(&mut self, now_ms: u64, request_id: u64) {
-        let can_serve = self.can_serve_reads(now_ms);
-        let commit_index = self.commit_index;
-        let Role::Leader(leadership) = &mut self.role else { return };
-        if can_serve {
-            self.emit(Effect::Answer { request_id, result: Ok(commit_index) });
-            return;
-        }
-        let index = commit_index.max(leadership.first_index);
-        leadership.reads.push(PendingRead { request_id, requested_ms: now_ms, index });
-    }
-
-    /// Answers the pending reads for which a majority has answered a message that
-    /// was sent after the read arrived, which confirms the leadership.
-    pub(crate) fn answer_reads(&mut self, now_ms: u64) {
-        let applied_index = self.applied_index;
-        let Role::Leader(leadership) = &self.role else { return };
-        let acked_ms = self.quorum_acked_ms(leadership, now_ms);
-        let Role::Leader(leadership) = &mut self.role else { return };
-        let ready =
-            |read: &mut PendingRead| read.requested_ms < acked_ms && read.index <= applied_index;
-        let answered: Vec<PendingRead> = leadership.reads.extract_if(.., ready).collect();
-        for read in answered {
-            self.emit(Effect::Answer { request_id: read.request_id, result: Ok(read.index) });
-        }
-    }
 }
--- a/crates/anvillift-consensus/src/replica.rs
+++ b/crates/anvillift-consensus/src/replica.rs
@@ -7,20 +7,19 @@
 use std::mem;
 
 use anvillift_schema::consensus::{
-    ConsensusEnvelope, ConsensusMessage, Entry, EntryBody, Vote, Voter, VoterSet,
+    ConsensusEnvelope, ConsensusMessage, EntryBody, Vote, Voter, VoterSet,
 };
 use anvillift_schema::name::Name;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::effect::{AnswerError, Effect};
+use crate::effect::Effect;
 use crate::log::Log;
 use crate::propose_error::ProposeError;
 use crate::recovered_state::RecoveredState;
-use crate::role::{Leadership, ReplicaKey, Role, RoleKind};
+use crate::role::{ReplicaKey, Role, RoleKind};
 use crate::settings::ReplicaSettings;
 use crate::snapshot::{IncomingSnapshot, Snapshot};
-use crate::status::ReplicaStatus;
 
 /// One replica of a replicated log.
 #[derive(Debug)]
@@ -203,11 +202,6 @@
         self.take_effects()
     }
 
-    /// Size of the entries in memory after an index, in bytes.
-    pub fn bytes_after(&self, index: u64) -> usize {
-        self.log.bytes_after(index)
-    }
-
     /// Records a snapshot of the state machine at an applied index, and drops the
     /// entries that it covers except the newest `trailing_entries`, of which at most
     /// `trailing_bytes` are kept.
@@ -224,54 +218,6 @@
         }
     }
 
-    /// Whether a read can be served on this replica without contacting the
-    /// others. That is the case for a leader with a valid lease that has
-    /// committed an entry of its own term.
-    pub fn can_serve_reads(&self, now_ms: u64) -> bool {
-        let Role::Leader(leadership) = &self.role else { return false };
-        self.settings.lease_reads
-            && leadership.transfer_deadline_ms.is_none()
-            && self.commit_index >= leadership.first_index
-            && now_ms < self.lease_until_ms(leadership, now_ms)
-    }
-
-    /// Returns a copy of the state that operators see.
-    pub fn status(&self) -> ReplicaStatus {
-        ReplicaStatus {
-            role: self.role_kind(),
-            leader: self.leader.clone(),
-            term: self.vote.term,
-            commit_index: self.commit_index,
-            last_index: self.log.last_index(),
-            voters: self.log.voters().clone(),
-            voters_index: self.log.voters_index(),
-            refetching: self.refetch_upto.is_some(),
-        }
-    }
-
-    /// Term of the entry at an index, or `None` if the entry was compacted or
-    /// does not exist yet.
-    pub fn term_at(&self, index: u64) -> Option<u64> {
-        self.log.term_at(index)
-    }
-
-    /// Voters in force at an index, which is that of a log entry or of the newest
-    /// snapshot.
-    pub fn voters_at(&self, index: u64) -> &VoterSet {
-        self.log.voters_at(index)
-    }
-
-    /// Index of the last entry for which [`Effect::Apply`] was returned, or that
-    /// a snapshot covers.
-    pub fn applied_index(&self) -> u64 {
-        self.applied_index
-    }
-
-    /// Entry at an index, or `None` if it was compacted or does not exist yet.
-    pub fn entry(&self, index: u64) -> Option<&Entry> {
-        self.log.entry(index)
-    }
-
     pub(crate) fn role_kind(&self) -> RoleKind {
         match self.role {
             Role::Follower => RoleKind::Follower,
@@ -312,32 +258,6 @@
         self.emit(Effect::Send { to, envelope });
     }
 
-    /// Enters a newer term, in which this replica has not voted yet.
-    pub(crate) fn enter_term(&mut self, now_ms: u64, term: u64) {
-        self.become_follower(now_ms);
-        self.leader = None;
-        self.vote = Vote { term, voted_for: None };
-        self.emit(Effect::SaveVote { vote: self.vote.clone() });
-    }
-
-    /// Ends any candidacy or leadership. Requests that the leader accepted and
-    /// that are still open are answered with an error.
-    pub(crate) fn become_follower(&mut self, now_ms: u64) {
-        let role = mem::replace(&mut self.role, Role::Follower);
-        if let Role::Leader(leadership) = role {
-            self.leader = None;
-            self.fail_requests(leadership);
-            self.reset_election_timer(now_ms);
-        }
-    }
-
-    fn fail_requests(&mut self, leadership: Leadership) {
-        let reads = leadership.reads.into_iter().map(|read| read.request_id);
-        for request_id in leadership.proposals.into_values().chain(reads) {
-            self.emit(Effect::Answer { request_id, result: Err(AnswerError::Unknown) });
-        }
-    }
-
     /// Runs before each input is handled. Initializes the timers on the first
     /// call, and steps down if the leader has lost its quorum, as after the
     /// process was suspended.
--- a/crates/anvillift-fleet/src/crash_evidence.rs
+++ b/crates/anvillift-fleet/src/crash_evidence.rs
@@ -10,6 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::asked::Asked;
 use crate::broken_requests::ConfirmedCrash;
 use crate::crash::{Crash, Testimony};
 use crate::feature_kind::FeatureKind;
@@ -41,21 +42,6 @@
 /// Most requests kept of all crashes together.
 const MAX_REQUESTS: usize = 16_384;
 
-/// When hosts were last asked about a feature.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    asked_ms: u64,
-    /// Crashes since it was last served, when it was asked.
-    crashes: usize,
-    /// Index of the last of them. The number alone does not show new crashes: it may reach the
-    /// same value again after the feature was served.
-    last_crash: Option<usize>,
-    /// Whether it was known then that the feature was ever served.
-    was_served: bool,
-    /// Time of the first question at which the feature had enough crashes to be quarantined.
-    enough_since_ms: Option<u64>,
-}
-
 /// Crashes of workers, and when the features that were in flight were served.
 #[derive(Clone, Debug, Default)]
 pub struct CrashEvidence {
--- a/crates/anvillift-fleet/src/host_table.rs
+++ b/crates/anvillift-fleet/src/host_table.rs
@@ -10,17 +10,14 @@
 use anvillift_schema::fleet::{FleetHost, FleetHostRole, FleetHostState};
 use anvillift_schema::name::Name;
 
-/// Time for which a host counts as alive after a message over its own link, in milliseconds.
-const DIRECT_ALIVE_MS: u64 = 2_500;
+use crate::host_record::{HostRecord, MAX_REGION_SILENCE_MS};
+
 /// Time after which a silent host is removed from the table, in milliseconds.
 const REMOVE_AFTER_MS: u64 = 60_000;
 /// Time without contact to any core after which a host stops using its share of the
 /// fleet-wide limits, in milliseconds. It is shorter than [`REMOVE_AFTER_MS`], after
 /// which the others divide that share among themselves.
 const SHARE_VALID_MS: u64 = 45_000;
-/// Time without a message from any core host of a region after which the region
-/// counts as unreachable, in milliseconds.
-const MAX_REGION_SILENCE_MS: u64 = 1_300;
 
 /// Times for which a [`HostTable`] relies on a report of another host.
 #[derive(Clone, Copy, Debug)]
@@ -39,24 +36,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct HostRecord {
-    host: FleetHost,
-    last_direct_ms: Option<u64>,
-    last_seen_ms: u64,
-}
-
-impl HostRecord {
-    /// Whether a message arrived so recently that the region of the host is reachable.
-    fn is_heard(&self, now_ms: u64) -> bool {
-        self.last_direct_ms.is_some_and(|ms| ms + MAX_REGION_SILENCE_MS >= now_ms)
-    }
-
-    fn is_direct(&self, now_ms: u64) -> bool {
-        self.last_direct_ms.is_some_and(|ms| ms + DIRECT_ALIVE_MS >= now_ms)
-    }
-}
-
 /// The hosts by name.
 #[derive(Clone, Debug)]
 pub struct HostTable {
--- a/crates/anvillift-fleet/src/lib.rs
+++ b/crates/anvillift-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 mod answer_timeouts;
+mod asked;
 mod broken_requests;
 mod call_limit;
 mod call_load;
@@ -36,6 +37,7 @@
 mod fingerprint;
 mod fleet_team;
 pub mod homes;
+mod host_record;
 mod host_table;
 mod in_flight;
 mod in_flight_request;
--- a/crates/anvillift-fleet/src/quarantine_trials.rs
+++ b/crates/anvillift-fleet/src/quarantine_trials.rs
@@ -11,7 +11,7 @@
 /// Most trials of a set of features until one of them is served. Callers of harmful requests
 /// allow no more to reach workers, over all hosts and restarts.
 const MAX_TRIALS: u64 = 3;
-/// Longest time of a trial, in milliseconds.
+/// Longest time for which such a request is waited for, in milliseconds.
 const TRIAL_TIME_MS: u64 = 10_000;
 /// Time after the last crash from which on the report of a worker shows that it is up, in
 /// milliseconds. Reports that were sent before the crash may arrive late.
--- a/crates/anvillift-fleet/src/quota_host.rs
+++ b/crates/anvillift-fleet/src/quota_host.rs
@@ -15,7 +15,7 @@
 use crate::known_hosts::KnownHosts;
 use crate::owner_contact::OwnerContact;
 use crate::quota_answer::QuotaAnswer;
-use crate::quota_decision::{QuotaDecision, QuotaRefusal};
+use crate::quota_decision::QuotaDecision;
 use crate::quota_question::QuotaQuestion;
 use crate::quota_share;
 use crate::quota_share::QuotaShare;
@@ -104,7 +104,7 @@
         let state = team_state(&mut self.teams, team);
         state.last_used_ms = now_ms;
         state.estimate.record(amount_milli);
-        if let Some(used) = take_granted(state, now_ms, team, amount_milli, self.contact.term) {
+        if let Some(used) = state.take_granted(now_ms, team, amount_milli, self.contact.term) {
             return QuotaDecision::Admitted(used);
         }
         if self.contact.alone_since_ms(now_ms).is_some() {
@@ -112,7 +112,7 @@
         }
         if now_ms < state.refuse_until_ms {
             let retry_after_ms = state.room_at_ms - now_ms;
-            return refused(state, now_ms, retry_after_ms);
+            return state.refused(now_ms, retry_after_ms);
         }
         QuotaDecision::Waiting(self.waiting.add(team, quota, amount_milli))
     }
@@ -228,9 +228,9 @@
         team.room_at_ms = now_ms + grant.room_ms;
         team.refuse_until_ms = now_ms + grant.room_ms.min(MAX_EMPTY_MS);
         for (number, amount_milli) in self.waiting.take_answered(granted.sequence, &grant.team) {
-            let used = take_granted(team, now_ms, &grant.team, amount_milli, granted.term);
+            let used = team.take_granted(now_ms, &grant.team, amount_milli, granted.term);
             let decision = used.map(QuotaDecision::Admitted);
-            let decision = decision.unwrap_or_else(|| refused(team, now_ms, grant.room_ms.max(1)));
+            let decision = decision.unwrap_or_else(|| team.refused(now_ms, grant.room_ms.max(1)));
             decisions.push((number, decision));
         }
     }
@@ -296,24 +296,3 @@
     }
     teams.get_mut(team).expect("the state of the team was inserted")
 }
-
-/// Takes the amount of a request from the grants of its team, if they cover it.
-fn take_granted(
-    state: &mut QuotaTeam,
-    now_ms: u64,
-    team: &Name,
-    amount_milli: u64,
-    term: u64,
-) -> Option<QuotaUse> {
-    let valid_until_ms = state.grants.take(now_ms, amount_milli)?;
-    let team = team.clone();
-    Some(QuotaUse { team, amount_milli, source: QuotaSource::Granted, term, valid_until_ms })
-}
-
-fn refused(state: &mut QuotaTeam, now_ms: u64, retry_after_ms: u64) -> QuotaDecision {
-    QuotaDecision::Refused(QuotaRefusal {
-        retry_after_ms,
-        available_milli: state.grants.valid_milli(now_ms),
-        source: QuotaSource::Granted,
-    })
-}
--- a/crates/anvillift-gateway/src/commands/dispatch.rs
+++ b/crates/anvillift-gateway/src/commands/dispatch.rs
@@ -10,13 +10,13 @@
 use anvillift_schema::event::Event;
 use anvillift_schema::ledger::{CommandKey, CommandOutcome};
 use anvillift_schema::name::Name;
-use anvillift_schema::payload::Payload;
 use anvillift_schema::public::Outcome;
-use bytes::{Bytes, BytesMut};
-use futures_util::{StreamExt, future};
+use bytes::Bytes;
+use futures_util::future;
 use salvo::http::StatusCode;
 use uuid::Uuid;
 
+use super::complete_answer::{CompleteAnswer, collect};
 use super::{answers, expire, holder, proposal, record_outcome};
 use crate::admission;
 use crate::answer::{self, Answer, AnswerBody};
@@ -31,9 +31,6 @@
 /// Time after which a caller may repeat a refused command, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1000;
 
-/// Maximum size of the answer to a command, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
 /// Runs a command with a key, or returns the recorded outcome of an earlier attempt.
 pub(super) async fn run(
     gateway: &Arc<Gateway>,
@@ -136,23 +133,6 @@
     profile.command_retention_ms.max(profile.deadline_ms.saturating_mul(2))
 }
 
-/// Complete answer of the upstream, with its body collected.
-struct CompleteAnswer {
-    answer: Answer,
-    body: Bytes,
-}
-
-impl CompleteAnswer {
-    fn outcome(&self) -> CommandOutcome {
-        let content_type = headers::text(&self.answer.headers, "content-type");
-        CommandOutcome {
-            status: self.answer.status.as_u16(),
-            content_type: content_type.unwrap_or_default().to_owned(),
-            body: Payload::from(self.body.to_vec()),
-        }
-    }
-}
-
 /// Result of sending a command: the next step, and the answer if one was received.
 struct SendOutcome {
     step: Step,
@@ -242,40 +222,6 @@
     (place, complete)
 }
 
-/// Reads the body of an answer to its end, so that the answer can be stored.
-async fn collect(
-    gateway: &Gateway,
-    request: &Request,
-    answer: Answer,
-) -> Result<CompleteAnswer, AttemptFailure> {
-    let deadline = gateway.clock.instant(request.deadline_ms);
-    let mut stream = match answer.body {
-        AnswerBody::Complete(body) => {
-            let answer = Answer { body: AnswerBody::Complete(body.clone()), ..answer };
-            return Ok(CompleteAnswer { answer, body });
-        }
-        AnswerBody::Stream(stream) => stream,
-    };
-    let mut collected = BytesMut::new();
-    loop {
-        let item = tokio::time::timeout_at(deadline, stream.next()).await;
-        match item.map_err(|_| AttemptFailure::unknown(Code::UpstreamTimeout))? {
-            Some(Ok(bytes)) if collected.len() + bytes.len() <= MAX_ANSWER_BYTES => {
-                collected.extend_from_slice(&bytes);
-            }
-            Some(_) => return Err(AttemptFailure::unknown(Code::UpstreamFailed)),
-            None => break,
-        }
-    }
-    let body = collected.freeze();
-    let answer = Answer {
-        status: answer.status,
-        headers: answer.headers,
-        body: AnswerBody::Complete(body.clone()),
-    };
-    Ok(CompleteAnswer { answer, body })
-}
-
 fn record_answer(attempt: &mut Attempt, complete: CompleteAnswer) -> SendOutcome {
     let outcome = complete.outcome();
     let result =
--- a/crates/anvillift-gateway/src/commands/mod.rs
+++ b/crates/anvillift-gateway/src/commands/mod.rs
@@ -6,6 +6,7 @@
 //! once. Start at [`run`].
 
 mod answers;
+mod complete_answer;
 mod dispatch;
 mod expire;
 mod groups;
--- a/crates/anvillift-mesh/src/link.rs
+++ b/crates/anvillift-mesh/src/link.rs
@@ -4,6 +4,8 @@
 //! calls and new streams to the [`MeshHandlers`], and other stream frames to their
 //! [`StreamState`].
 
+mod streams;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,9 +13,7 @@
 use std::time::Duration;
 
 use anvillift_schema::code::Code;
-use anvillift_schema::link::{
-    ForwardHead, LinkClass, LinkFrame, PeerAnswer, PeerCall, PeerMessage,
-};
+use anvillift_schema::link::{LinkFrame, PeerAnswer, PeerCall, PeerMessage};
 use anvillift_schema::name::Name;
 use bytes::Bytes;
 use futures_util::stream::{SplitSink, SplitStream};
@@ -25,15 +25,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::codec;
-use crate::error::{LinkError, OpenError, WebSocketSnafu};
-use crate::handlers::{IncomingStream, MeshHandlers};
+use crate::error::{LinkError, WebSocketSnafu};
+use crate::handlers::MeshHandlers;
 use crate::handshake::Role;
 use crate::round_trip::RoundTrip;
 use crate::settings::MeshSettings;
-use crate::stream::{AnswerSender, BodyReceiver, BodySender, ForwardedAnswer, StreamGuard};
 use crate::stream_state::StreamState;
 use crate::transport::Socket;
-use crate::write_queue::{StreamFrame, WriteQueue};
+use crate::write_queue::WriteQueue;
 
 /// A link to one host; the host that dialled uses odd stream ids, the other even ones.
 pub(crate) struct Link {
@@ -121,40 +120,6 @@
         self.calls.lock().expect("lock").remove(&call_id);
     }
 
-    /// Opens a stream, sends the body in a separate task and waits for the head of the answer.
-    pub(crate) async fn open(
-        self: &Arc<Self>,
-        class: LinkClass,
-        head: ForwardHead,
-        body: Bytes,
-    ) -> Result<ForwardedAnswer, OpenError> {
-        let id = self.next_stream_id.fetch_add(2, Ordering::Relaxed);
-        let credit_bytes = self.settings.stream_credit_bytes;
-        let (answer_tx, answer_rx) = oneshot::channel();
-        let (state, inbound) = StreamState::new(id, class, 0, credit_bytes, Some(answer_tx));
-        let state = Arc::new(state);
-        self.streams.lock().expect("lock").insert(id, state.clone());
-        let guard = Arc::new(StreamGuard { link: self.clone(), state: state.clone() });
-        let frame = LinkFrame::Open { stream: id, class, head, credit_bytes };
-        let frame = StreamFrame { frame, write_started: Some(state.write_started.clone()) };
-        let failed = |code| OpenError {
-            host: self.peer.clone(),
-            code,
-            certainly_not_sent: !state.write_started.load(Ordering::Acquire),
-        };
-        if !self.queue.push_stream(class, id, frame) {
-            return Err(failed(Code::LinkLost));
-        }
-        tokio::spawn(send_body(BodySender::new(guard.clone()), body));
-        match answer_rx.await {
-            Ok(Ok(head)) => {
-                Ok(ForwardedAnswer { head, body: BodyReceiver::new(guard, inbound, credit_bytes) })
-            }
-            Ok(Err(code)) => Err(failed(code)),
-            Err(_) => Err(failed(Code::LinkLost)),
-        }
-    }
-
     async fn write(&self, mut sink: SplitSink<Socket, Message>) -> LinkError {
         let mut ping = time::interval(Duration::from_millis(self.settings.ping_ms));
         loop {
@@ -281,35 +246,4 @@
             message => (handlers.message)(self.peer.clone(), message),
         }
     }
-
-    fn handle_open(
-        self: &Arc<Self>,
-        id: u64,
-        class: LinkClass,
-        head: ForwardHead,
-        send_credit_bytes: u64,
-        handlers: &MeshHandlers,
-    ) {
-        let credit_bytes = self.settings.stream_credit_bytes;
-        let (state, inbound) = StreamState::new(id, class, send_credit_bytes, credit_bytes, None);
-        let state = Arc::new(state);
-        self.streams.lock().expect("lock").insert(id, state.clone());
-        let guard = Arc::new(StreamGuard { link: self.clone(), state });
-        let stream = IncomingStream {
-            from: self.peer.clone(),
-            class,
-            head,
-            body: BodyReceiver::new(guard.clone(), inbound, credit_bytes),
-            answer: AnswerSender::new(guard),
-        };
-        let grant = LinkFrame::Credit { stream: id, bytes: credit_bytes };
-        self.queue.push_credit(grant);
-        tokio::spawn((handlers.open)(stream));
-    }
-}
-
-async fn send_body(mut sender: BodySender, body: Bytes) {
-    if sender.send(body).await.is_ok() {
-        sender.finish();
-    }
 }
--- a/crates/anvillift-node/src/core/control_log.rs
+++ b/crates/anvillift-node/src/core/control_log.rs
@@ -49,7 +49,7 @@
     lease_reads: false,
 };
 
-/// Answer of the state machine to a command by which a trial was granted.
+/// Answer of the state machine to a [`GrantTrial`] that it accepts.
 const TRIAL_GRANTED: u8 = 1;
 
 type Outgoing = (Name, ConsensusEnvelope);
--- a/crates/anvillift-node/src/entry/admit.rs
+++ b/crates/anvillift-node/src/entry/admit.rs
@@ -16,7 +16,7 @@
 
 use crate::clock;
 use crate::entry::Entry;
-use crate::entry::attempt::{
+use crate::entry::forward_headers::{
     CALLER_HEADER, CONFIGURATION_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, SERVICE_HEADER,
     STREAM_VERSION_HEADER, TEAM_HEADER, TRIAL_HEADER,
 };
--- a/crates/anvillift-node/src/entry/attempt.rs
+++ b/crates/anvillift-node/src/entry/attempt.rs
@@ -11,6 +11,10 @@
 use tokio::time;
 
 use crate::clock;
+use crate::entry::forward_headers::{
+    CALLER_HEADER, CONFIGURATION_HEADER, FORWARDED_FROM_HEADER, NOT_RUN_HEADER, NOT_SENT,
+    SERVICE_HEADER, STREAM_VERSION_HEADER, TEAM_HEADER, TRIAL_HEADER,
+};
 use crate::entry::planned_stop::PlannedStop;
 use crate::entry::pool::{AcquireError, Lease};
 use crate::entry::request::Request;
@@ -24,33 +28,6 @@
 const REMOTE_CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Statuses that promise callers that a request has not run. A worker must state it besides.
 const PROMISES_OF_NO_RUN: [u16; 3] = [408, 429, 503];
-/// Header field of a request forwarded by an entry host of another region, with
-/// the name of that region.
-pub(crate) const FORWARDED_FROM_HEADER: &str = "Anvillift-Forwarded-From";
-/// Header field of an answer by which an entry host states that no worker has
-/// executed the request it was forwarded.
-pub(crate) const NOT_RUN_HEADER: &str = "Anvillift-Not-Run";
-/// Value of that field if the request was sent to no worker.
-pub(crate) const NOT_SENT: &str = "not-sent";
-
-/// Header field with the version of the worker's software: in a forwarded request the
-/// version that the receiving host must choose, in its answer the one that it chose.
-pub(crate) const STREAM_VERSION_HEADER: &str = "Anvillift-Stream-Version";
-
-/// Header field of a forwarded request with the name of its caller's team.
-pub(crate) const TEAM_HEADER: &str = "Anvillift-Team";
-
-/// Header field of a forwarded request with the identity of its caller.
-pub(crate) const CALLER_HEADER: &str = "Anvillift-Caller";
-
-/// Header fields of a forwarded request with the version of the configuration by which it was
-/// admitted, and the service that this one gives it.
-pub(crate) const CONFIGURATION_HEADER: &str = "Anvillift-Configuration";
-pub(crate) const SERVICE_HEADER: &str = "Anvillift-Service";
-
-/// Header field of a forwarded request that is a trial although it is quarantined.
-pub(crate) const TRIAL_HEADER: &str = "Anvillift-Trial";
-
 /// A response whose head has been read, with the connection that carries the body.
 pub(crate) struct StartedResponse {
     pub(crate) lease: Lease,
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -32,6 +32,7 @@
 mod ended_workers;
 mod exchange;
 mod forward;
+mod forward_headers;
 mod frames;
 mod front;
 mod host_target;
--- a/crates/anvillift-node/src/entry/request_failure.rs
+++ b/crates/anvillift-node/src/entry/request_failure.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use crate::entry::Entry;
-use crate::entry::attempt::{NOT_RUN_HEADER, NOT_SENT};
+use crate::entry::forward_headers::{NOT_RUN_HEADER, NOT_SENT};
 use crate::entry::front::Origin;
 use crate::respond::Reply;
 
--- a/crates/anvillift-node/src/entry/response_writer.rs
+++ b/crates/anvillift-node/src/entry/response_writer.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 
 use crate::clock;
-use crate::entry::attempt::{STREAM_VERSION_HEADER, StartedResponse};
+use crate::entry::attempt::StartedResponse;
+use crate::entry::forward_headers::STREAM_VERSION_HEADER;
 use crate::entry::front::Origin;
 use crate::entry::request::Request;
 use crate::entry::request_progress::RequestProgress;
--- a/crates/anvillift-node/src/entry/team.rs
+++ b/crates/anvillift-node/src/entry/team.rs
@@ -7,7 +7,7 @@
 use anvillift_schema::key_hash::KeyHash;
 
 use crate::entry::Entry;
-use crate::entry::attempt::TEAM_HEADER;
+use crate::entry::forward_headers::TEAM_HEADER;
 use crate::entry::front::Origin;
 use crate::entry::request_failure::RequestFailure;
 use crate::fleet_view::FleetView;
--- a/crates/anvillift-node/src/entry/trials.rs
+++ b/crates/anvillift-node/src/entry/trials.rs
@@ -24,7 +24,7 @@
 /// Intervals between two questions about an entry in that time and later, in milliseconds.
 const OFTEN_INTERVAL_MS: u64 = 1_000;
 const SELDOM_INTERVAL_MS: u64 = 10_000;
-/// Time for which cores are told that a trial was served, in milliseconds.
+/// Time for which cores are told again that a quarantined request was served, in milliseconds.
 const TELL_SERVED_MS: u64 = 30_000;
 
 /// The questions about one entry.
--- a/crates/anvillift-replication/src/driver.rs
+++ b/crates/anvillift-replication/src/driver.rs
@@ -5,6 +5,8 @@
 //! the status of the replica. After a storage fault the replica stops, and a new one continues
 //! from the storage once that can be opened again.
 
+mod reopening;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc;
@@ -25,15 +27,13 @@
 use crate::machine::GroupMachine;
 use crate::membership_error::MembershipError;
 use crate::performer::Performer;
-use crate::replica_source::{OpenedReplica, ReplicaSource};
+use crate::replica_source::ReplicaSource;
 use crate::requests::PendingRequest;
 use crate::settings::{GroupDriverSettings, SendFn};
 use crate::status::GroupStatus;
 
 /// Interval between ticks of a replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay after which failed storage is opened again.
-const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum number of inputs that are handled before a sync.
 const MAX_BATCH_INPUTS: usize = 1_024;
 /// Maximum number of commands and reads that wait for their answer; more are
@@ -102,18 +102,6 @@
         GroupHandle::new(tx, queued, status_receiver)
     }
 
-    /// Opens the storage and replaces the replica by one that continues from its content.
-    fn open(&mut self) -> Result<(), StorageError> {
-        let OpenedReplica { replica, storage, snapshot } = self.source.open()?;
-        self.replica = replica;
-        self.performer.storage = storage;
-        self.snapshot_index = snapshot.as_ref().map_or(0, |snapshot| snapshot.meta.index);
-        if let Some(snapshot) = snapshot {
-            self.performer.restore(&snapshot.meta, &snapshot.data);
-        }
-        Ok(())
-    }
-
     fn run(mut self) {
         while self.stopping.is_none() {
             let wait = self.tick_due.saturating_duration_since(Instant::now());
@@ -184,7 +172,10 @@
                 self.stopping = Some(reply);
                 Vec::new()
             }
-            _ if self.is_failed() => reject(input),
+            _ if self.is_failed() => {
+                input.reject();
+                Vec::new()
+            }
             Input::Receive { from, envelope } => self.replica.receive(now_ms, &from, envelope),
             Input::Propose { command, reply } => {
                 let propose = |replica: &mut Replica, id| replica.propose(now_ms, id, command);
@@ -254,46 +245,6 @@
         Ok(())
     }
 
-    /// Stops the replica after a storage fault, because the content of the disk is then unknown.
-    fn fail(&mut self, error: &StorageError) {
-        self.reopen_due = Some(Instant::now() + REOPEN_DELAY);
-        self.publish();
-        self.performer.abort();
-        let group = &self.performer.group;
-        log::error!(
-            event = Event::StorageFailed.number(), group = group.as_str(),
-            code = error.code().number(), reopen_after_ms = REOPEN_DELAY.as_millis() as u64;
-            "storage of group {group} failed; its replica stops until it can be opened again: {error}"
-        );
-    }
-
-    fn is_failed(&self) -> bool {
-        self.reopen_due.is_some()
-    }
-
-    /// Opens failed storage again once its delay has passed.
-    fn reopen_if_due(&mut self) {
-        if self.reopen_due.is_none_or(|due| Instant::now() < due) {
-            return;
-        }
-        if let Err(error) = self.reopen() {
-            self.fail(&error);
-            return;
-        }
-        self.reopen_due = None;
-        let group = &self.performer.group;
-        log::info!(
-            event = Event::StorageReopened.number(), group = group.as_str(),
-            index = self.performer.applied_index();
-            "storage of group {group} opened again after a fault"
-        );
-    }
-
-    fn reopen(&mut self) -> Result<(), StorageError> {
-        self.performer.discard_unsynced()?;
-        self.open()
-    }
-
     fn publish(&mut self) {
         let mut status = GroupStatus::new(self.replica.status(), self.is_failed());
         let (role_before, term_before, leader_since) = {
@@ -335,22 +286,6 @@
     }
 }
 
-fn reject(input: Input) -> Vec<Effect> {
-    match input {
-        Input::Propose { reply, .. } => {
-            reply.send(Err(ProposeError::Stopped)).ok();
-        }
-        Input::Read { reply } => {
-            reply.send(Err(ProposeError::Stopped)).ok();
-        }
-        Input::AddLearner { reply, .. } | Input::Remove { reply, .. } => {
-            reply.send(Err(MembershipError::Stopped)).ok();
-        }
-        Input::Receive { .. } | Input::StepDown | Input::Stop { .. } => (),
-    }
-    Vec::new()
-}
-
 fn split_result(
     changed: Result<Vec<Effect>, anvillift_consensus::MembershipChangeError>,
 ) -> (Vec<Effect>, Result<(), MembershipError>) {
@@ -359,10 +294,3 @@
         Err(error) => (Vec::new(), Err(MembershipError::from(error))),
     }
 }
-
-impl From<anvillift_consensus::ProposeError> for ProposeError {
-    fn from(error: anvillift_consensus::ProposeError) -> Self {
-        let anvillift_consensus::ProposeError::NotLeader { leader } = error;
-        leader.map_or(Self::NoLeader, |leader| Self::NotLeader { leader })
-    }
-}
--- a/crates/anvillift-replication/src/error.rs
+++ b/crates/anvillift-replication/src/error.rs
@@ -26,3 +26,10 @@
     #[snafu(display("the replica of the group is stopped"))]
     Stopped,
 }
+
+impl From<anvillift_consensus::ProposeError> for ProposeError {
+    fn from(error: anvillift_consensus::ProposeError) -> Self {
+        let anvillift_consensus::ProposeError::NotLeader { leader } = error;
+        leader.map_or(Self::NoLeader, |leader| Self::NotLeader { leader })
+    }
+}
--- a/crates/anvillift-replication/src/input.rs
+++ b/crates/anvillift-replication/src/input.rs
@@ -20,3 +20,21 @@
     StepDown,
     Stop { reply: oneshot::Sender<()> },
 }
+
+impl Input {
+    /// Answers a request of a replica that has stopped.
+    pub(crate) fn reject(self) {
+        match self {
+            Self::Propose { reply, .. } => {
+                reply.send(Err(ProposeError::Stopped)).ok();
+            }
+            Self::Read { reply } => {
+                reply.send(Err(ProposeError::Stopped)).ok();
+            }
+            Self::AddLearner { reply, .. } | Self::Remove { reply, .. } => {
+                reply.send(Err(MembershipError::Stopped)).ok();
+            }
+            Self::Receive { .. } | Self::StepDown | Self::Stop { .. } => (),
+        }
+    }
+}
--- a/crates/anvillift-routing/src/decide.rs
+++ b/crates/anvillift-routing/src/decide.rs
@@ -16,6 +16,7 @@
 use crate::load_view::{DataCentreCapacity, LoadView, UpstreamCapacity};
 use crate::request::RequestFacts;
 use crate::shortlist::Shortlist;
+use crate::weights::Weights;
 
 /// A data centre whose load report is older than this takes no forwarded requests,
 /// in milliseconds.
@@ -29,17 +30,6 @@
 /// lower so that placement does not alternate between data centres.
 const MIN_SPILL_GAIN_ONGOING_MS: f64 = 40.0;
 
-/// Score penalty for sending a request to another region, in milliseconds, when the
-/// profile gives its away weight and its tail weight the same value.
-const AWAY_COST_MS: f64 = 300.0;
-
-/// Weight of the prefill time in the score. It accounts for the delay that a prefill
-/// causes to the other requests at the upstream.
-const PREFILL_WEIGHT: f64 = 4.0;
-
-/// Number of answer tokens up to which gaps above the target add to the score.
-const MAX_LATE_GAP_TOKENS: u64 = 64;
-
 /// Shortest retry delay of a refused request before the random part is added, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 250;
 
@@ -196,38 +186,6 @@
     capacity.hosts.iter().filter(|host| !request.failed_hosts.contains(host))
 }
 
-/// Weights of a profile, relative to its weight of tail latency.
-struct Weights {
-    cost: f64,
-    away: f64,
-    gap_target_ms: f64,
-    late_gap_tokens: f64,
-}
-
-impl Weights {
-    fn of(profile: &Profile, request: &RequestFacts) -> Self {
-        let tail = f64::from(profile.weight_tail_milli.max(1));
-        Self {
-            cost: f64::from(profile.weight_cost_milli) / tail + PREFILL_WEIGHT,
-            away: f64::from(profile.weight_away_milli) / tail,
-            gap_target_ms: f64::from(profile.between_tokens_target_ms),
-            late_gap_tokens: request.answer_tokens.min(MAX_LATE_GAP_TOKENS) as f64,
-        }
-    }
-
-    /// Combines latency and prefill work into a score, in milliseconds of latency.
-    fn score_ms(&self, estimate: &Estimate) -> f64 {
-        let late_gap_ms = (estimate.gap_ms - self.gap_target_ms).max(0.0);
-        estimate.first_token_ms
-            + late_gap_ms * self.late_gap_tokens
-            + self.cost * estimate.prefill_ms
-    }
-
-    fn away_cost_ms(&self, capacity: &DataCentreCapacity, own_region: &Name) -> f64 {
-        if capacity.region == *own_region { 0.0 } else { AWAY_COST_MS * self.away }
-    }
-}
-
 /// Whether to forward a request: the local wait exceeds what the profile tolerates,
 /// and the gain is large enough.
 fn should_forward(
--- a/crates/anvillift-routing/src/lib.rs
+++ b/crates/anvillift-routing/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod shortlist;
 pub mod team_bucket;
 pub mod team_limit;
+mod weights;
