--- a/crates/anvillift-node/src/entry/forward.rs
+++ b/crates/anvillift-node/src/entry/forward.rs
@@ -29,7 +29,7 @@
         keep_alive: bool,
     ) -> ConnectionAction {
         if request.route.kind == RepeatKind::ResumableStream {
-            self.wait_for_news().await;
+            self.wait_until_caught_up().await;
         }
         let mut attempts = Attempts::of(request);
         let mut counted: Option<CountedQuota<'_>> = None;
--- a/crates/anvillift-node/src/entry/mod.rs
+++ b/crates/anvillift-node/src/entry/mod.rs
@@ -142,7 +142,7 @@
     stream_lookups: RefCell<StreamLookups>,
     /// Memory for request bodies.
     body_memory: BodyMemory,
-    /// Whether this host has stood still and waits for news.
+    /// Whether this host has stood still and has not caught up.
     standstill: Standstill,
     /// The planned stop, or `None` before.
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
@@ -219,8 +219,8 @@
         task::spawn_local(async move { checker.run_crash_checks().await });
         let connection_checker = Rc::clone(&entry);
         task::spawn_local(async move { connection_checker.run_connection_checks().await });
-        let noter = Rc::clone(&entry);
-        task::spawn_local(async move { noter.run_standstill_notes().await });
+        let standstill_checker = Rc::clone(&entry);
+        task::spawn_local(async move { standstill_checker.run_standstill_checks().await });
         let contact_checker = Rc::clone(&entry);
         task::spawn_local(async move { contact_checker.run_contact_checks().await });
         let asker = Rc::clone(&entry);
--- a/crates/anvillift-node/src/entry/resume.rs
+++ b/crates/anvillift-node/src/entry/resume.rs
@@ -124,7 +124,7 @@
             attempts.version_constraint = VersionConstraint::Only(version?);
             let left_ms = caller_patience_ms(&request.route).saturating_sub(paused_ms);
             answer_by_ms = clock::now_ms() + left_ms;
-            self.wait_for_news().await;
+            self.wait_until_caught_up().await;
         }
         let mut end = AttemptEnd::Broken;
         loop {
--- a/crates/anvillift-schema/src/event.rs
+++ b/crates/anvillift-schema/src/event.rs
@@ -104,7 +104,7 @@
     ContactRegained = 2741, "info", "A worker has answered this host again";
     StreamWaitedForHost = 2742, "info", "A resumed stream waited for an entry host that reaches workers of its version";
     StoodStill = 2743, "warn", "This host has stood still";
-    NewsRead = 2744, "info", "This host has read the news since it stood still";
+    CaughtUp = 2744, "info", "This host has caught up after it stood still";
 }
 
 impl Event {
