--- a/crates/anvillift-gateway/tests/testsuite/control_cluster.rs
+++ b/crates/anvillift-gateway/tests/testsuite/control_cluster.rs
@@ -14,6 +14,7 @@
 use tokio::time::{self, Instant};
 
 use crate::cluster::{Cluster, OPERATOR_KEY};
+use crate::memory_folder::memory_folder;
 use crate::wait;
 
 /// Control hosts, which have a disk.
@@ -34,7 +35,7 @@
     /// Starts hosts `{region}-1` to `{region}-{hosts}` in each region; the first of each has a
     /// disk.
     pub(crate) async fn start(hosts: u32) -> Self {
-        let disks = tempfile::tempdir().expect("a folder");
+        let disks = memory_folder();
         let cluster = Cluster::start_with(hosts, |settings| {
             settings.control.voters = CONTROL.map(Name::from).to_vec();
             settings.timing.heartbeat_ms = 100;
--- a/crates/anvillift-gateway/tests/testsuite/main.rs
+++ b/crates/anvillift-gateway/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod late_answers;
 mod leaving;
 mod loops;
+mod memory_folder;
 mod odd_answers;
 mod placement;
 mod planned_stop;
--- a/crates/anvillift-replication/tests/testsuite/faults.rs
+++ b/crates/anvillift-replication/tests/testsuite/faults.rs
@@ -9,7 +9,7 @@
 use anvillift_storage::StorageIo;
 use rstest::rstest;
 
-use crate::support::{Group, eventually, folder_of, host, lock};
+use crate::support::{Group, eventually, folder_of, host, lock, memory_folder};
 
 /// Storage I/O whose writes and syncs fail with `kind` while the switch is set.
 fn failing_io(switch: &Arc<AtomicBool>, kind: io::ErrorKind) -> StorageIo {
@@ -25,7 +25,7 @@
 }
 
 async fn start(switches: &[Arc<AtomicBool>], kind: io::ErrorKind) -> (tempfile::TempDir, Group) {
-    let root = tempfile::tempdir().expect("a folder");
+    let root = memory_folder();
     let mut group = Group::new(3);
     for (number, switch) in switches.iter().enumerate() {
         let name = host(number);
--- a/crates/anvillift-replication/tests/testsuite/group.rs
+++ b/crates/anvillift-replication/tests/testsuite/group.rs
@@ -6,12 +6,12 @@
 use anvillift_schema::consensus::Voter;
 use rstest::rstest;
 
-use crate::support::{Group, eventually, folder_of, host, lock};
+use crate::support::{Group, eventually, folder_of, host, lock, memory_folder};
 
 #[rstest]
 #[tokio::test]
 async fn commands_are_applied_in_order_on_all_hosts(#[values(false, true)] disks: bool) {
-    let root = tempfile::tempdir().expect("a folder");
+    let root = memory_folder();
     let mut group = Group::new(3);
     for name in (0..3).map(host) {
         group.start(&name, folder_of(root.path(), &name).filter(|_| disks));
@@ -51,7 +51,7 @@
 
 #[tokio::test]
 async fn two_thousand_commands_survive_restarts_and_snapshots() {
-    let root = tempfile::tempdir().expect("a folder");
+    let root = memory_folder();
     let mut group = Group::new(3);
     for name in (0..3).map(host) {
         group.start(&name, folder_of(root.path(), &name));
@@ -97,7 +97,7 @@
 
 #[tokio::test]
 async fn a_group_survives_a_second_host_failure_after_a_disk_was_replaced() {
-    let root = tempfile::tempdir().expect("a folder");
+    let root = memory_folder();
     let mut group = Group::new(3);
     for name in (0..3).map(host) {
         group.start(&name, folder_of(root.path(), &name));
--- a/crates/anvillift-replication/tests/testsuite/support.rs
+++ b/crates/anvillift-replication/tests/testsuite/support.rs
@@ -14,6 +14,7 @@
 use anvillift_schema::consensus::Voter;
 use anvillift_schema::name::Name;
 use anvillift_storage::{DataFolder, StorageIo};
+use tempfile::TempDir;
 
 const DEADLINE: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -190,3 +191,13 @@
 pub(crate) fn folder_of(root: &Path, name: &Name) -> Option<PathBuf> {
     Some(root.join(name.as_str()))
 }
+
+/// Folder of a file system in memory, on machines that have one.
+const MEMORY_FOLDER: &str = "/dev/shm";
+
+/// A temporary folder, in memory if possible: the disk of the machine, which tests share with other
+/// work, may stand still for longer than hosts wait for each other.
+pub(crate) fn memory_folder() -> TempDir {
+    let folder = tempfile::tempdir_in(MEMORY_FOLDER).or_else(|_| tempfile::tempdir());
+    folder.expect("a folder")
+}
--- a/tests/testsuite/support/cluster.rs
+++ b/tests/testsuite/support/cluster.rs
@@ -14,6 +14,7 @@
 
 use super::host::Host;
 use super::layout::{self, CALLER_KEY, ClusterSettings, HostLayout, OPERATOR_KEY, PLAIN};
+use super::memory_folder;
 use super::network::Network;
 use super::tool::{self, ToolOutput};
 use super::wait;
@@ -47,7 +48,7 @@
     /// Starts hosts as set out in `settings`, and waits until all are connected.
     pub(crate) async fn start_with(settings: ClusterSettings) -> Self {
         let _slot = CLUSTER_SLOTS.acquire().await.expect("never closed");
-        let folder = tempfile::tempdir().expect("a folder");
+        let folder = memory_folder::memory_folder();
         let layouts = layout::host_layouts(&settings);
         let network = Network::start(&layouts).await;
         let mut hosts = BTreeMap::new();
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fake_host;
 pub(crate) mod host;
 pub(crate) mod layout;
+pub(crate) mod memory_folder;
 pub(crate) mod network;
 pub(crate) mod stream;
 pub(crate) mod tool;
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -2,13 +2,8 @@
 //!
 //! A line `test: NAME` of that file names one test in full. Each must stand in exactly one test
 //! program, so that nothing else is passed over with it.
-//!
-//! Temporary folders are in memory where the machine has a file system for that, unless `TMPDIR`
-//! is set: the tests' hosts sync their data and write their logs there, and the disk of the machine,
-//! which they share with other work, may stand still for longer than hosts wait for each other.
 
 use std::collections::BTreeMap;
-use std::env;
 use std::fs;
 use std::io;
 use std::path::Path;
@@ -18,10 +13,6 @@
 
 const LIST: &str = "KNOWN-RED.txt";
 const TEST_PREFIX: &str = "test: ";
-/// Variable with the folder of temporary files.
-const TEMPORARY_FOLDER_VARIABLE: &str = "TMPDIR";
-/// Folder of a file system in memory, on machines that have one.
-const MEMORY_FOLDER: &str = "/dev/shm";
 /// End of a line by which a test program lists a test.
 const LISTED_SUFFIX: &str = ": test";
 
@@ -59,9 +50,6 @@
         }
         let mut command = cargo_test(&root);
         command.arg("--exact");
-        if env::var_os(TEMPORARY_FOLDER_VARIABLE).is_none() && Path::new(MEMORY_FOLDER).is_dir() {
-            command.env(TEMPORARY_FOLDER_VARIABLE, MEMORY_FOLDER);
-        }
         names.iter().for_each(|name| {
             command.args(["--skip", name]);
         });
